--- /dev/null
+++ b/simhost/src/host.rs
@@ -0,0 +1,289 @@
+//! Turns wire batches into events of each instance's controller, names into indices, and back.
+
+use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+use hoptiller as core;
+
+use crate::wire;
+
+/// One controller with the names that its wire uses.
+struct Instance {
+    controller: core::Controller,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    handles: Vec<String>,
+    requests: BTreeMap<String, core::RequestId>,
+    keys: BTreeMap<String, core::KeyId>,
+}
+
+/// All instances of this process; they share nothing but the declared lists.
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u64, Instance>,
+    rosters: BTreeMap<u64, Vec<wire::Entry>>,
+}
+
+impl Host {
+    /// The reply to one line, or what is wrong with it.
+    pub fn reply(&mut self, line: &str) -> Result<String, String> {
+        let batch: wire::Batch = serde_json::from_str(line).map_err(|e| e.to_string())?;
+        let now = micros(batch.at_time);
+        let mut pending: BTreeMap<u64, Vec<core::Event>> = BTreeMap::new();
+        let mut actions = Vec::new();
+        for event in batch.happened {
+            match event {
+                wire::Event::Roster(r) => {
+                    self.rosters.insert(r.table, r.elements);
+                }
+                wire::Event::Hello(h) => {
+                    pending.insert(h.i, Vec::new());
+                    match Instance::new(&h) {
+                        Ok(instance) => {
+                            self.instances.insert(h.i, instance);
+                        }
+                        Err(e) => {
+                            actions.push(wire::Action::InternalError { i: h.i, body_text: e.to_string() });
+                        }
+                    }
+                }
+                wire::Event::Detach(o) => {
+                    self.instances.remove(&o.i);
+                    pending.remove(&o.i);
+                }
+                wire::Event::Sync(s) => {
+                    let Some(instance) = self.instances.get(&s.i) else { continue };
+                    let entries = match self.rosters.get(&s.table) {
+                        _ if s.scope == wire::Scope::Refused => Vec::new(),
+                        Some(list) => list.iter().map(|e| instance.entry(e)).collect(),
+                        None => return Err(format!("sync: `table` {} was never declared", s.table)),
+                    };
+                    pending.entry(s.i).or_default().push(core::Event::List(scope(s.scope), entries));
+                }
+                wire::Event::WorkItem(w) => {
+                    let Some(instance) = self.instances.get_mut(&w.i) else { continue };
+                    let arrival = instance.arrival(&w)?;
+                    pending.entry(w.i).or_default().push(core::Event::Arrival(arrival));
+                }
+                wire::Event::Outcome(o) => {
+                    let Some(instance) = self.instances.get(&o.i) else { continue };
+                    let events = pending.entry(o.i).or_default();
+                    events.extend(instance.outcome(&o).map(core::Event::Outcome));
+                }
+                wire::Event::Dropped(d) => {
+                    let Some(instance) = self.instances.get(&d.i) else { continue };
+                    let events = pending.entry(d.i).or_default();
+                    events.extend(instance.requests.get(&d.handle).copied().map(core::Event::Dropped));
+                }
+                wire::Event::Wakeup(o)
+                | wire::Event::Started(o)
+                | wire::Event::Notice(o)
+                | wire::Event::Health(o)
+                | wire::Event::Memo(o) => {
+                    pending.entry(o.i).or_default().push(core::Event::Wakeup);
+                }
+            }
+        }
+        for (i, events) in pending {
+            let Some(instance) = self.instances.get_mut(&i) else { continue };
+            let mut out = Vec::new();
+            let run = AssertUnwindSafe(|| instance.controller.handle(now, &events, &mut out));
+            match catch_unwind(run) {
+                Ok(()) => actions.extend(out.into_iter().map(|a| instance.action(i, a))),
+                Err(_) => {
+                    let body_text = "the decision module panicked".to_string();
+                    actions.push(wire::Action::InternalError { i, body_text });
+                }
+            }
+        }
+        serde_json::to_string(&wire::Reply { batch: batch.batch, actions }).map_err(|e| e.to_string())
+    }
+}
+
+impl Instance {
+    fn new(hello: &wire::Hello) -> Result<Self, core::SettingsError> {
+        let s = &hello.settings;
+        Ok(Instance {
+            controller: core::Controller::new(settings(s), hello.salt)?,
+            classes: s.lanes.iter().map(|l| l.name.clone()).collect(),
+            tenants: s.tenants.iter().map(|t| t.name.clone()).collect(),
+            zones: s.zones.clone(),
+            kinds: s.kinds.clone(),
+            handles: Vec::new(),
+            requests: BTreeMap::new(),
+            keys: BTreeMap::new(),
+        })
+    }
+
+    fn entry(&self, e: &wire::Entry) -> core::Entry {
+        core::Entry {
+            engine: core::EngineId(e.engine),
+            zone: index(&self.zones, &e.zone),
+            kind: index(&self.kinds, &e.machine),
+            cell: e.pod,
+            ready_at: micros(e.ready_at),
+            readiness: match e.readiness {
+                wire::Readiness::Up => core::Readiness::Up,
+                wire::Readiness::Draining => core::Readiness::Draining,
+                wire::Readiness::Removed => core::Readiness::Removed,
+            },
+        }
+    }
+
+    fn arrival(&mut self, w: &wire::WorkItem) -> Result<core::Arrival, String> {
+        let class = index(&self.classes, &w.profile)
+            .ok_or_else(|| format!("workItem: unknown `profile` {:?}", w.profile))?;
+        let request = core::RequestId(self.handles.len() as u64);
+        self.handles.push(w.handle.clone());
+        self.requests.insert(w.handle.clone(), request);
+        let fresh = core::KeyId(self.keys.len() as u64);
+        let key = w.table.as_ref().map(|k| *self.keys.entry(k.clone()).or_insert(fresh));
+        Ok(core::Arrival {
+            request,
+            class,
+            tenant: w.team.as_str().and_then(|t| index(&self.tenants, t)),
+            key,
+            valid_until: micros(w.valid_until),
+            guess: w.guess.map(micros),
+            retry: w.retry,
+        })
+    }
+
+    fn outcome(&self, o: &wire::Outcome) -> Option<core::Outcome> {
+        let work = o.stats / 4096;
+        Some(core::Outcome {
+            request: *self.requests.get(&o.handle)?,
+            hop: o.hop,
+            engine: core::EngineId(o.engine),
+            ending: match o.ending {
+                wire::Ending::Good => core::Ending::Good,
+                wire::Ending::Bad => core::Ending::Bad,
+                wire::Ending::Full => core::Ending::Full,
+                wire::Ending::Late => core::Ending::Late,
+                wire::Ending::Noconn => core::Ending::NoConnection,
+                wire::Ending::Rst => core::Ending::Reset,
+                wire::Ending::Cxl => core::Ending::Cancelled,
+                wire::Ending::Nop => core::Ending::Moot,
+            },
+            elapsed: micros(o.elapsed),
+            terminal: o.terminal,
+            work: (o.stats > 0).then_some(work.saturating_mul(1000)),
+            report: (!o.report.is_empty()).then(|| core::LoadReport {
+                in_flight: o.report.get("busy_reqs").and_then(serde_json::Value::as_f64),
+            }),
+        })
+    }
+
+    fn action(&self, i: u64, action: core::Action) -> wire::Action {
+        let name = |r: core::RequestId| self.handles[r.0 as usize].clone();
+        match action {
+            core::Action::Send { request, engine, not_past } => wire::Action::HandOff {
+                i,
+                handle: name(request),
+                engine: engine.0,
+                not_past: not_past.map(millis),
+            },
+            core::Action::Priority { request, priority } => {
+                wire::Action::Allot { i, handle: name(request), workspace_mb: 0.0, prio: priority }
+            }
+            core::Action::Refuse { request, hold_off } => {
+                wire::Action::Busy { i, handle: name(request), hold_off: hold_off.map(millis) }
+            }
+            core::Action::Fail(request) => wire::Action::EndFailed { i, handle: name(request) },
+            core::Action::Timer(after) => wire::Action::NotifyMe { i, reference: 0, after: millis(after) },
+            core::Action::Subscribe => wire::Action::StreamChanges { i, on: true },
+            core::Action::Log(body_text) => wire::Action::Remark { i, body_text },
+        }
+    }
+}
+
+fn settings(s: &wire::Settings) -> core::Settings {
+    let classes = s.lanes.iter().enumerate().map(|(at, l)| core::Class {
+        aim: micros(l.aim),
+        aim_stretch: l.aim_stretch,
+        deadline: micros(l.deadline),
+        effect: match l.semantics {
+            wire::Semantics::Pure => core::Effect::Pure,
+            wire::Semantics::SideEffect => core::Effect::Unsafe,
+            wire::Semantics::Token => core::Effect::Keyed {
+                // Without a group only the narrowest is sure to drop repeats.
+                group: match l.group {
+                    Some(wire::Group::All) => core::Group::All,
+                    Some(wire::Group::Zone) => core::Group::Zone,
+                    Some(wire::Group::Cell) | None => core::Group::Cell,
+                },
+                window: micros(l.window),
+            },
+        },
+        in_turn: l.in_turn,
+        late_worth: l.late_worth,
+        worth: l.importance,
+        zones: l.zones_open.as_ref().map(|only| indices(&s.zones, only)),
+        kinds: l.kinds_allowed.as_ref().map(|only| indices(&s.kinds, only)),
+        threads: s.extra.parallelism.get(at).copied().unwrap_or(1.0),
+    });
+    let r = &s.rules;
+    core::Settings {
+        gateways: s.balancers,
+        tick: micros(s.tick),
+        classes: classes.collect(),
+        cores: s.extra.cpu_of_kind.clone(),
+        tenants: s.tenants.iter().map(|t| t.fraction).collect(),
+        over_share_worth: s.over_share_worth,
+        bills: s.extra.bills,
+        discovery: match s.discovery.as_deref() {
+            Some("subscribe") => core::Discovery::Subscribe,
+            _ => core::Discovery::Push,
+        },
+        limits: core::Limits {
+            max_attempts: s.limits.max_attempts.unwrap_or(1),
+            second_copies: s.limits.second_copies,
+            retry_after: s.limits.retry_after,
+            max_retry_after: micros(s.limits.max_retry_after),
+            priorities: s.extra.ranks_heeded,
+        },
+        rules: core::Rules {
+            start_capacity: r.start_capacity,
+            ramp_time: micros(r.ramp_time),
+            overload_factor: r.overload_factor,
+            fall: micros(r.fall),
+            order_pause: micros(r.order_pause),
+            retry_budget: (r.spare_attempts.is_some() || r.extra_ratio.is_some()).then(|| {
+                core::RetryBudget {
+                    spare: r.spare_attempts.unwrap_or(0.0),
+                    ratio: r.extra_ratio.unwrap_or(0.0),
+                    look_back: micros(r.look_back),
+                }
+            }),
+            ask_within: micros(r.ask_within),
+        },
+    }
+}
+
+fn scope(s: wire::Scope) -> core::Scope {
+    match s {
+        wire::Scope::Changes => core::Scope::Changes,
+        wire::Scope::All => core::Scope::All,
+        wire::Scope::Remembered => core::Scope::Remembered,
+        wire::Scope::Refused => core::Scope::Refused,
+    }
+}
+
+fn index(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name)
+}
+
+fn indices(names: &[String], only: &[String]) -> Vec<usize> {
+    only.iter().filter_map(|n| index(names, n)).collect()
+}
+
+/// Milliseconds of the wire as microseconds; what is negative or no number counts as 0.
+fn micros(ms: f64) -> core::Micros {
+    (ms * 1000.0).round().max(0.0) as core::Micros
+}
+
+fn millis(us: core::Micros) -> f64 {
+    us as f64 / 1000.0
+}
--- /dev/null
+++ b/simhost/src/wire.rs
@@ -0,0 +1,304 @@
+//! The wire's messages, as serde reads and writes them. Unknown fields are ignored.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Batch {
+    pub at_time: f64,
+    pub batch: u64,
+    pub happened: Vec<Event>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub enum Event {
+    Hello(Hello),
+    Detach(Only),
+    Roster(Roster),
+    Sync(Sync),
+    WorkItem(WorkItem),
+    Started(Only),
+    Notice(Only),
+    Outcome(Outcome),
+    Dropped(Dropped),
+    Wakeup(Only),
+    Health(Only),
+    Memo(Only),
+}
+
+#[derive(Deserialize)]
+pub struct Only {
+    pub i: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Hello {
+    pub i: u64,
+    #[serde(default)]
+    pub salt: u64,
+    pub settings: Settings,
+}
+
+#[derive(Deserialize)]
+pub struct Roster {
+    pub table: u64,
+    pub elements: Vec<Entry>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Entry {
+    pub engine: u32,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub machine: String,
+    #[serde(default)]
+    pub pod: u64,
+    #[serde(default)]
+    pub ready_at: f64,
+    pub readiness: Readiness,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "camelCase")]
+pub enum Readiness {
+    Up,
+    Draining,
+    Removed,
+}
+
+#[derive(Deserialize)]
+pub struct Sync {
+    pub i: u64,
+    pub scope: Scope,
+    #[serde(default)]
+    pub table: u64,
+}
+
+#[derive(Deserialize, Clone, Copy, PartialEq)]
+#[serde(rename_all = "camelCase")]
+pub enum Scope {
+    Changes,
+    All,
+    Remembered,
+    Refused,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct WorkItem {
+    pub i: u64,
+    pub handle: String,
+    pub profile: String,
+    #[serde(default)]
+    pub team: serde_json::Value,
+    pub table: Option<String>,
+    pub valid_until: f64,
+    pub guess: Option<f64>,
+    #[serde(default)]
+    pub retry: bool,
+}
+
+#[derive(Deserialize)]
+pub struct Outcome {
+    pub i: u64,
+    pub handle: String,
+    #[serde(default)]
+    pub hop: u32,
+    pub engine: u32,
+    pub ending: Ending,
+    #[serde(default)]
+    pub elapsed: f64,
+    #[serde(default)]
+    pub terminal: bool,
+    #[serde(default)]
+    pub stats: u64,
+    #[serde(default)]
+    pub report: BTreeMap<String, serde_json::Value>,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Ending {
+    Good,
+    Bad,
+    Full,
+    Late,
+    Noconn,
+    Rst,
+    Cxl,
+    Nop,
+}
+
+#[derive(Deserialize)]
+pub struct Dropped {
+    pub i: u64,
+    pub handle: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Settings {
+    pub balancers: u32,
+    pub tick: f64,
+    pub lanes: Vec<Lane>,
+    pub kinds: Vec<String>,
+    pub zones: Vec<String>,
+    pub tenants: Vec<Tenant>,
+    pub over_share_worth: f64,
+    pub discovery: Option<String>,
+    pub limits: Limits,
+    pub rules: Rules,
+    pub extra: Extra,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            balancers: 1,
+            tick: 1.0,
+            lanes: Vec::new(),
+            kinds: Vec::new(),
+            zones: Vec::new(),
+            tenants: Vec::new(),
+            over_share_worth: 1.0,
+            discovery: None,
+            limits: Limits::default(),
+            rules: Rules::default(),
+            extra: Extra::default(),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Lane {
+    pub name: String,
+    pub aim: f64,
+    #[serde(default)]
+    pub aim_stretch: f64,
+    pub deadline: f64,
+    pub semantics: Semantics,
+    pub group: Option<Group>,
+    #[serde(default)]
+    pub window: f64,
+    #[serde(default)]
+    pub in_turn: bool,
+    #[serde(default)]
+    pub late_worth: f64,
+    pub importance: f64,
+    pub kinds_allowed: Option<Vec<String>>,
+    pub zones_open: Option<Vec<String>>,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+pub enum Semantics {
+    Pure,
+    Token,
+    SideEffect,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "camelCase")]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize)]
+pub struct Tenant {
+    pub name: String,
+    #[serde(default)]
+    pub fraction: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Limits {
+    pub max_attempts: Option<u32>,
+    pub second_copies: bool,
+    pub retry_after: bool,
+    pub max_retry_after: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Rules {
+    pub start_capacity: f64,
+    pub ramp_time: f64,
+    pub overload_factor: f64,
+    pub fall: f64,
+    pub order_pause: f64,
+    pub spare_attempts: Option<f64>,
+    pub extra_ratio: Option<f64>,
+    pub look_back: f64,
+    pub ask_within: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Extra {
+    pub parallelism: Vec<f64>,
+    pub cpu_of_kind: Vec<f64>,
+    pub ranks_heeded: bool,
+    pub bills: bool,
+}
+
+#[derive(Serialize)]
+pub struct Reply {
+    pub batch: u64,
+    #[serde(rename = "do")]
+    pub actions: Vec<Action>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase", rename_all_fields = "camelCase")]
+pub enum Action {
+    HandOff {
+        i: u64,
+        handle: String,
+        engine: u32,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        not_past: Option<f64>,
+    },
+    Allot {
+        i: u64,
+        handle: String,
+        workspace_mb: f64,
+        prio: u8,
+    },
+    Busy {
+        i: u64,
+        handle: String,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        hold_off: Option<f64>,
+    },
+    EndFailed {
+        i: u64,
+        handle: String,
+    },
+    NotifyMe {
+        i: u64,
+        #[serde(rename = "ref")]
+        reference: u64,
+        after: f64,
+    },
+    StreamChanges {
+        i: u64,
+        on: bool,
+    },
+    Remark {
+        i: u64,
+        body_text: String,
+    },
+    InternalError {
+        i: u64,
+        body_text: String,
+    },
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,883 @@
+//! Every decision of the gateway. Types: `interface.rs`. Read top to bottom:
+//! constants · state · events · the loop · dispatch · guards · endings.
+//!
+//! Ordinary path: a request waits in its class queue; each free engine place goes to a class by random
+//! draw, whose odds a PI loop tunes; it goes to the engine with the fewest own queries. The rest are guards.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::interface::*;
+
+// ---- constants ----------------------------------------------------------------------------------
+
+/// Sampling period of loop and bounds: long enough for some answers of each class, a few per burst.
+const PERIOD: Micros = 2_000_000;
+/// Gains of the PI update, Δx = GAIN_NOW·e(k) − GAIN_BEFORE·e(k−1); from the paper, Eq. 11.
+const GAIN_NOW: f64 = 0.42;
+const GAIN_BEFORE: f64 = 0.1;
+/// Bound of the error, so that one odd ratio cannot throw x (anti-windup).
+const ERROR_MAX: f64 = 2.0;
+/// Bounds of x: a class keeps at least about one draw in 17 against its neighbour (anti-windup).
+const X_MIN: f64 = 1.0 / 16.0;
+const X_MAX: f64 = 16.0;
+/// Threads per told core that all gateways together keep running under pressure (DESIGN, ours).
+const THREADS_PER_CORE: f64 = 2.0;
+/// Bounds grow to this multiple of the slice (DESIGN, ours).
+const GROWTH_MAX: f64 = 3.0;
+/// A bound never falls under this many queries' worth of threads (DESIGN, ours).
+const MIN_QUERIES: f64 = 2.0;
+/// Times the undisturbed run time that counts as pressure, and at which places are returned.
+const PRESSURE_STRETCH: f64 = 1.6;
+const RETURN_STRETCH: f64 = 2.5;
+/// Part of answers within aim above which bounds may grow.
+const AIMS_MET: f64 = 0.8;
+/// Housekeeping interval: deadlines, late marks, silence.
+const WAKE: Micros = 20_000;
+/// Queued requests are ended this long before the client gives up, so that the answer is in time.
+const END_MARGIN: Micros = 3 * WAKE;
+/// Late work of classes that still earn less than this part of their worth is refused instead of kept.
+const LATE_KEEP: f64 = 0.2;
+/// Until answers teach better, a query's work is taken as this part of its class's patience, per thread.
+const PRIOR_WORK: f64 = 0.1;
+/// For cold engines the untaught guess is doubled: too little is slow, too much kills the engine.
+const COLD_PRIOR: f64 = 2.0;
+/// Part of the guaranteed cold capacity that is used, for slow cores, gateways of unequal load and chance.
+const COLD_SAFE: f64 = 0.5;
+/// Answers after which a class's learned means count as taught; weight of a new sample after that.
+const TAUGHT: f64 = 20.0;
+const MEAN_WEIGHT: f64 = 0.03;
+/// Failure average of an engine: weight of an answer, of a refused connection, and the ejecting level.
+const FAIL_WEIGHT: f64 = 0.2;
+const REFUSED_WEIGHT: f64 = 0.5;
+const FAIL_EJECT: f64 = 0.35;
+/// An engine is silent when queries are out for this multiple of their class's usual run time ...
+const SILENT_TIMES: f64 = 4.0;
+/// ... and nothing at all has come back for this long.
+const SILENT_FOR: Micros = 1_000_000;
+/// First time of ejection; doubled at each in a row up to the maximum.
+const EJECT_FIRST: Micros = 1_000_000;
+const EJECT_MAX: Micros = 8_000_000;
+/// At most this part of the listed engines is ejected: what hits more than that is shared by all.
+const EJECT_PART: f64 = 0.5;
+/// No new send for this long to an engine that was full.
+const FULL_PAUSE: Micros = 200_000;
+/// A request with this much less patience than its class's most patient one repeats an earlier try.
+const RETRY_PATIENCE: f64 = 0.98;
+/// Pause after a refused call to discovery.
+const ASK_PAUSE: Micros = 500_000;
+
+// ---- state --------------------------------------------------------------------------------------
+
+/// Order in a class queue: late work last, then by the latest start that meets the aim.
+type Rank = (bool, Micros, RequestId);
+
+struct ClassState {
+    queue: BTreeSet<Rank>,
+    /// Sum and count of waits in this period.
+    waits: (f64, f64),
+    /// Mean work of all threads, and mean run time, in µs; answers seen.
+    work: f64,
+    run: f64,
+    seen: f64,
+    /// Sums of true and of guessed work, for the steady factor of the estimates.
+    billed: f64,
+    guessed: f64,
+    /// The longest patience seen.
+    patience: Micros,
+}
+
+struct Request {
+    class: usize,
+    key: Option<KeyId>,
+    valid_until: Micros,
+    guess: Option<f64>,
+    /// When its first try began, as far as can be told.
+    born: Micros,
+    came: Micros,
+    rank: Option<Rank>,
+    attempts: u32,
+    /// Attempts without outcome: hop and engine.
+    out: Vec<(u32, EngineId)>,
+    tried: Vec<EngineId>,
+    /// Zone, cell and sending time of the first attempt that may have run.
+    may_have_run: Option<(Option<usize>, u64, Micros)>,
+    done: bool,
+}
+
+/// Requests of one key in the order taken; the first has the turn.
+#[derive(Default)]
+struct Turn {
+    line: VecDeque<RequestId>,
+    rest_until: Micros,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Health {
+    Well,
+    /// Outlier ejection until a time, then half-open: one trial at a time.
+    Ejected {
+        until: Micros,
+        trial: Option<RequestId>,
+    },
+}
+
+struct Sent {
+    request: RequestId,
+    hop: u32,
+    class: usize,
+    at: Micros,
+    guess: f64,
+}
+
+struct Engine {
+    zone: Option<usize>,
+    kind: Option<usize>,
+    cell: u64,
+    ready_at: Micros,
+    readiness: Readiness,
+    out: Vec<Sent>,
+    /// Thread bound under pressure.
+    bound: f64,
+    /// Decayed sums of run time × threads and of work: their ratio is the stretch.
+    ran: f64,
+    worked: f64,
+    /// Answers of this period; latest told number of queries in flight from all gateways.
+    answers: u32,
+    told: Option<f64>,
+    full_until: Micros,
+    heard: Micros,
+    failing: f64,
+    health: Health,
+    ejections: u32,
+    /// Sends within the sliding `fall` window: time and usual work.
+    recent: VecDeque<(Micros, f64)>,
+}
+
+/// The decision module of one gateway.
+pub struct Controller {
+    cfg: Settings,
+    rng: Pcg64Mcg,
+    now: Micros,
+    classes: Vec<ClassState>,
+    /// x_j = P_{j+1} / P_j of neighbouring classes, and the last error of each.
+    x: Vec<f64>,
+    last_error: Vec<f64>,
+    engines: BTreeMap<EngineId, Engine>,
+    requests: BTreeMap<RequestId, Request>,
+    /// Open requests by the time their client gives up.
+    ends: BTreeSet<(Micros, RequestId)>,
+    turns: BTreeMap<KeyId, Turn>,
+    taken: VecDeque<Micros>,
+    extras: VecDeque<Micros>,
+    next_wake: Micros,
+    next_period: Micros,
+    /// Served within aim, and served at all, in this period.
+    met: (f64, f64),
+    next_ask: Option<Micros>,
+    asked: bool,
+}
+
+impl Controller {
+    /// A controller that knows nothing yet. Same seed and events: same actions.
+    pub fn new(cfg: Settings, seed: u64) -> Result<Self, SettingsError> {
+        check(&cfg)?;
+        let classes = cfg.classes.iter().map(|c| {
+            let run = (c.deadline as f64 * PRIOR_WORK).max(1.0);
+            ClassState {
+                queue: BTreeSet::new(),
+                waits: (0.0, 0.0),
+                work: run * c.threads,
+                run,
+                seen: 0.0,
+                billed: 0.0,
+                guessed: 0.0,
+                patience: 0,
+            }
+        });
+        let pairs = cfg.classes.len() - 1;
+        Ok(Controller {
+            classes: classes.collect(),
+            x: vec![1.0; pairs],
+            last_error: vec![0.0; pairs],
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now: 0,
+            engines: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            ends: BTreeSet::new(),
+            turns: BTreeMap::new(),
+            taken: VecDeque::new(),
+            extras: VecDeque::new(),
+            next_wake: 0,
+            next_period: 0,
+            met: (0.0, 0.0),
+            next_ask: (cfg.discovery == Discovery::Subscribe).then_some(0),
+            asked: false,
+            cfg,
+        })
+    }
+
+    // ---- events ---------------------------------------------------------------------------------
+
+    /// Takes one batch: events first, then one dispatch pass.
+    pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        for event in events {
+            match event {
+                Event::List(scope, entries) => self.on_list(*scope, entries),
+                Event::Arrival(a) => self.on_arrival(a, out),
+                Event::Outcome(o) => self.on_outcome(o, out),
+                Event::Dropped(id) => self.end(*id, None, out),
+                Event::Wakeup => {}
+            }
+        }
+        if self.next_period == 0 {
+            self.next_period = self.now + PERIOD;
+        }
+        if self.now >= self.next_period {
+            self.next_period = self.now + PERIOD;
+            self.update_odds();
+            self.update_bounds();
+        }
+        if self.now >= self.next_wake {
+            self.next_wake = self.now + WAKE;
+            self.housekeep(out);
+            out.push(Action::Timer(WAKE));
+        }
+        self.dispatch(out);
+    }
+
+    fn on_list(&mut self, scope: Scope, entries: &[Entry]) {
+        if scope == Scope::Refused {
+            self.asked = false;
+            self.next_ask = Some(self.now + ASK_PAUSE);
+            return;
+        }
+        if scope != Scope::Remembered {
+            self.asked = false;
+        }
+        if scope != Scope::Changes {
+            // Danger: an engine missing from a full list is gone; sending on breaks the drain rule.
+            for e in self.engines.values_mut() {
+                e.readiness = Readiness::Removed;
+            }
+        }
+        for entry in entries {
+            let slice = self.slice(entry.kind);
+            let e = self.engines.entry(entry.engine).or_insert_with(|| Engine::new(entry, slice, self.now));
+            if entry.ready_at > e.ready_at {
+                // A new process: cold again, and its predecessor's health says nothing of it.
+                let (out, recent) = (std::mem::take(&mut e.out), std::mem::take(&mut e.recent));
+                *e = Engine::new(entry, slice, self.now);
+                (e.out, e.recent) = (out, recent);
+            }
+            (e.zone, e.kind, e.cell) = (entry.zone, entry.kind, entry.cell);
+            e.readiness = entry.readiness;
+        }
+        self.engines.retain(|_, e| e.readiness != Readiness::Removed || !e.out.is_empty());
+    }
+
+    fn on_arrival(&mut self, a: &Arrival, out: &mut Vec<Action>) {
+        if a.class >= self.classes.len() || self.requests.contains_key(&a.request) {
+            return;
+        }
+        self.taken.push_back(self.now);
+        let (class, spec) = (&mut self.classes[a.class], &self.cfg.classes[a.class]);
+        let patience = a.valid_until.saturating_sub(self.now);
+        class.patience = class.patience.max(patience);
+        // A client's patience spans all its tries: one with little left began earlier, and its aim too.
+        let repeats = (patience as f64) < class.patience as f64 * RETRY_PATIENCE;
+        let born = if repeats { a.valid_until.saturating_sub(spec.deadline).min(self.now) } else { self.now };
+        let key = a.key.filter(|_| spec.in_turn);
+        let request = Request {
+            class: a.class,
+            key,
+            valid_until: a.valid_until,
+            guess: a.guess.map(|g| g as f64).filter(|g| *g > 0.0),
+            born,
+            came: self.now,
+            rank: None,
+            attempts: 0,
+            out: Vec::new(),
+            tried: Vec::new(),
+            may_have_run: None,
+            done: false,
+        };
+        self.requests.insert(a.request, request);
+        self.ends.insert((a.valid_until, a.request));
+        if let Some(key) = key {
+            let turn = self.turns.entry(key).or_default();
+            turn.line.push_back(a.request);
+            if turn.line.len() > 1 || turn.rest_until > self.now {
+                return;
+            }
+        }
+        self.enqueue(a.request, out);
+    }
+
+    fn on_outcome(&mut self, o: &Outcome, out: &mut Vec<Action>) {
+        let sent = self.engines.get_mut(&o.engine).and_then(|e| {
+            let at = e.out.iter().position(|s| s.request == o.request && s.hop == o.hop)?;
+            Some(e.out.swap_remove(at))
+        });
+        let Some(sent) = sent else { return };
+        if o.ending == Ending::Good {
+            self.learn(&sent, o);
+        }
+        self.judge(&sent, o);
+        let Some(r) = self.requests.get_mut(&o.request) else { return };
+        r.out.retain(|(hop, _)| *hop != o.hop);
+        let proof = matches!(o.ending, Ending::Full | Ending::NoConnection | Ending::Moot);
+        if !proof && r.may_have_run.is_none() {
+            let place = self.engines.get(&o.engine).map_or((None, 0), |e| (e.zone, e.cell));
+            r.may_have_run = Some((place.0, place.1, sent.at));
+        }
+        if let (Some(key), Ending::Late | Ending::Reset | Ending::Cancelled) = (r.key, o.ending)
+            && let Some(turn) = self.turns.get_mut(&key)
+        {
+            turn.rest_until = turn.rest_until.max(self.now + self.cfg.rules.order_pause);
+        }
+        if o.terminal || r.done {
+            if o.ending == Ending::Good && !r.done {
+                let (c, took) = (&self.cfg.classes[r.class], (self.now - r.born) as f64);
+                let work = o.work.map_or(self.classes[r.class].work, |w| w as f64);
+                self.met.0 += f64::from(took <= c.aim as f64 + c.aim_stretch * work / c.threads);
+                self.met.1 += 1.0;
+            }
+            self.end(o.request, None, out);
+        } else if r.out.is_empty() && r.rank.is_none() {
+            self.enqueue(o.request, out);
+        }
+    }
+
+    /// Means of a class and the stretch of an engine, from a served query.
+    fn learn(&mut self, sent: &Sent, o: &Outcome) {
+        let (c, threads) = (&mut self.classes[sent.class], self.cfg.classes[sent.class].threads);
+        let (ran, usual) = (o.elapsed as f64 * threads, c.work);
+        // Without bills the run time stands in for the work: too high rather than too low.
+        let work = o.work.map_or(ran, |w| w as f64).max(1.0);
+        c.seen += 1.0;
+        let weight = (1.0 / c.seen).max(MEAN_WEIGHT);
+        c.work += (work - c.work) * weight;
+        c.run += (o.elapsed as f64 - c.run) * weight;
+        if sent.guess > 0.0 {
+            c.billed += work;
+            c.guessed += sent.guess;
+        }
+        if let Some(e) = self.engines.get_mut(&o.engine) {
+            e.ran += ran;
+            e.worked += if self.cfg.bills { work } else { usual };
+            e.answers += 1;
+        }
+    }
+
+    // ---- the loop -------------------------------------------------------------------------------
+
+    /// PI update of x from the period's mean waits, a loop for each pair of neighbours.
+    fn update_odds(&mut self) {
+        let now = self.now;
+        let mut mean = Vec::with_capacity(self.classes.len());
+        for c in &mut self.classes {
+            let (mut sum, mut n) = std::mem::take(&mut c.waits);
+            // Danger: clients who wait or left must count, or an abandoned class reads as fast.
+            for id in c.queue.iter().map(|r| &r.2) {
+                sum += (now - self.requests[id].came) as f64;
+                n += 1.0;
+            }
+            mean.push((n > 0.0).then(|| sum / n));
+        }
+        for j in 0..self.x.len() {
+            let (Some(a), Some(b)) = (mean[j], mean[j + 1]) else { continue };
+            let least = self.cfg.tick.max(1) as f64;
+            if a.max(b) <= 2.0 * least {
+                continue; // Nobody waits: the ratio is noise.
+            }
+            let target = self.bearable(j) / self.bearable(j + 1);
+            let error = (target - a.max(least) / b.max(least)).clamp(-ERROR_MAX, ERROR_MAX);
+            let step = GAIN_NOW * error - GAIN_BEFORE * self.last_error[j];
+            self.x[j] = (self.x[j] + step).clamp(X_MIN, X_MAX);
+            self.last_error[j] = error;
+        }
+    }
+
+    /// δ of a class: the wait that its aim leaves to a usual query that runs undisturbed.
+    fn bearable(&self, class: usize) -> f64 {
+        let (c, s) = (&self.cfg.classes[class], &self.classes[class]);
+        let alone = s.work / c.threads;
+        (c.aim as f64 + (c.aim_stretch - 1.0) * alone).max(c.aim as f64 * 0.25).max(1.0)
+    }
+
+    /// This gateway's threads on an engine of this kind, all gateways being equal.
+    fn slice(&self, kind: Option<usize>) -> f64 {
+        let cores = kind.and_then(|k| self.cfg.cores.get(k)).copied().unwrap_or(1.0);
+        let most = self.cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
+        (THREADS_PER_CORE * cores / f64::from(self.cfg.gateways)).max(MIN_QUERIES * most)
+    }
+
+    /// Grows a bound while requests wait and aims are met; returns places as latency grows.
+    fn update_bounds(&mut self) {
+        let waiting = self.classes.iter().any(|c| !c.queue.is_empty());
+        let met = self.met.1 == 0.0 || self.met.0 >= AIMS_MET * self.met.1;
+        let slices: Vec<f64> = self.engines.values().map(|e| self.slice(e.kind)).collect();
+        for (e, slice) in self.engines.values_mut().zip(slices) {
+            if e.answers > 0 {
+                if e.stretch() > RETURN_STRETCH {
+                    e.bound -= 1.0;
+                } else if waiting && met {
+                    e.bound += 1.0;
+                }
+            }
+            e.bound = e.bound.clamp(slice, GROWTH_MAX * slice);
+            e.answers = 0;
+            e.ran *= 0.5;
+            e.worked *= 0.5;
+        }
+        self.met = (0.0, 0.0);
+    }
+
+    /// Threads that this gateway may run there now.
+    fn places(&self, e: &Engine) -> f64 {
+        // Danger: silence is no proof of calm; only answers with little stretch lift the bound.
+        let calm = e.worked > 0.0 && e.stretch() < PRESSURE_STRETCH && self.now >= e.full_until;
+        if calm { GROWTH_MAX * self.slice(e.kind) } else { e.bound }
+    }
+
+    // ---- dispatch -------------------------------------------------------------------------------
+
+    /// Gives every free place to a class by draw. Work already late comes only after all other.
+    fn dispatch(&mut self, out: &mut Vec<Action>) {
+        for late in [false, true] {
+            let mut open: Vec<usize> = (0..self.classes.len()).collect();
+            loop {
+                open.retain(|c| self.head(*c, late).is_some());
+                if open.is_empty() {
+                    break;
+                }
+                let class = self.draw(&open);
+                let Some(id) = self.head(class, late) else { break };
+                if self.requests[&id].attempts > 0 && !self.may_try_again(&self.requests[&id]) {
+                    self.give_up(id, out);
+                } else if let Some(engine) = self.choose(id) {
+                    self.send(id, engine, out);
+                } else {
+                    open.retain(|c| *c != class); // No engine open to its head: yields to the others.
+                }
+            }
+        }
+    }
+
+    fn head(&self, class: usize, late: bool) -> Option<RequestId> {
+        let queue = &self.classes[class].queue;
+        let edge = (late, 0, RequestId(0));
+        queue.range(edge..).next().filter(|r| r.0 == late).map(|r| r.2)
+    }
+
+    /// Draws among the open classes; odds from x: P_{j+1} = x_j · P_j.
+    fn draw(&mut self, open: &[usize]) -> usize {
+        let mut odds = vec![1.0; self.classes.len()];
+        for j in 0..self.x.len() {
+            odds[j + 1] = odds[j] * self.x[j];
+        }
+        let total: f64 = open.iter().map(|c| odds[*c]).sum();
+        let mut r = (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64 * total;
+        for c in open {
+            r -= odds[*c];
+            if r <= 0.0 {
+                return *c;
+            }
+        }
+        open[open.len() - 1]
+    }
+
+    /// The engine with a free place and the fewest own queries; untried ones first; ties by the seed.
+    fn choose(&mut self, id: RequestId) -> Option<EngineId> {
+        let r = &self.requests[&id];
+        let mut best: Option<((bool, usize), Vec<EngineId>)> = None;
+        for (eid, e) in &self.engines {
+            if !self.eligible(r, *eid, e) {
+                continue;
+            }
+            let cost = (r.tried.contains(eid), e.out.len());
+            match &mut best {
+                Some((least, _)) if *least < cost => {}
+                Some((least, ties)) if *least == cost => ties.push(*eid),
+                _ => best = Some((cost, vec![*eid])),
+            }
+        }
+        let (_, ties) = best?;
+        Some(ties[(self.rng.next_u64() % ties.len() as u64) as usize])
+    }
+
+    /// The one sender.
+    fn send(&mut self, id: RequestId, engine: EngineId, out: &mut Vec<Action>) {
+        let priority = self.priority(&self.requests[&id]);
+        let (Some(r), Some(e)) = (self.requests.get_mut(&id), self.engines.get_mut(&engine)) else { return };
+        let class = &mut self.classes[r.class];
+        if let Some(rank) = r.rank.take() {
+            class.queue.remove(&rank);
+        }
+        if r.attempts == 0 {
+            class.waits.0 += (self.now - r.came) as f64;
+            class.waits.1 += 1.0;
+        } else {
+            self.extras.push_back(self.now);
+        }
+        if e.out.is_empty() {
+            e.heard = self.now; // An idle engine owes no answer.
+        }
+        if let Health::Ejected { trial, .. } = &mut e.health {
+            *trial = Some(id);
+        }
+        let sent = Sent {
+            request: id,
+            hop: r.attempts,
+            class: r.class,
+            at: self.now,
+            guess: r.guess.unwrap_or(0.0),
+        };
+        e.out.push(sent);
+        e.recent.push_back((self.now, class.usual_work()));
+        r.out.push((r.attempts, engine));
+        r.tried.push(engine);
+        r.attempts += 1;
+        if self.cfg.limits.priorities && priority != 1 {
+            out.push(Action::Priority { request: id, priority });
+        }
+        out.push(Action::Send { request: id, engine, not_past: None });
+    }
+
+    /// The class with the most worth for its work runs ahead inside engines too; late work runs behind.
+    fn priority(&self, r: &Request) -> u8 {
+        let gain = |c: usize| self.cfg.classes[c].worth / self.classes[c].work;
+        if r.rank.is_some_and(|rank| rank.0) {
+            0
+        } else if (0..self.classes.len()).all(|c| gain(c) <= gain(r.class)) {
+            3
+        } else {
+            1
+        }
+    }
+
+    // ---- guards ---------------------------------------------------------------------------------
+
+    /// Every send passes here: listed, not draining, placement, group, health, place, cold budget.
+    fn eligible(&self, r: &Request, eid: EngineId, e: &Engine) -> bool {
+        let c = &self.cfg.classes[r.class];
+        let within = |only: &Option<Vec<usize>>, is: Option<usize>| {
+            only.as_ref().is_none_or(|set| is.is_some_and(|i| set.contains(&i)))
+        };
+        // Danger: a keyed request that may have run is safe only where its repeat is still recognised.
+        let group = match (c.effect, r.may_have_run) {
+            (Effect::Keyed { group: Group::Zone, .. }, Some((zone, ..))) => e.zone == zone,
+            (Effect::Keyed { group: Group::Cell, .. }, Some((_, cell, _))) => e.cell == cell,
+            _ => true,
+        };
+        let healthy = match e.health {
+            Health::Well => true,
+            Health::Ejected { until, trial } => {
+                until <= self.now && trial.is_none() && c.effect == Effect::Pure
+            }
+        };
+        let threads: f64 = e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum();
+        e.readiness == Readiness::Up
+            && within(&c.zones, e.zone)
+            && within(&c.kinds, e.kind)
+            && group
+            && healthy
+            && self.now >= e.full_until
+            && threads + c.threads <= self.places(e)
+            && !r.out.iter().any(|(_, busy)| *busy == eid)
+            && self.cold_room(r.class, e)
+    }
+
+    /// Danger: all gateways together can kill a cold engine. Each keeps to its even part of what the engine
+    /// is sure to bear from its start on, in every window, until it is surely warm.
+    fn cold_room(&self, class: usize, e: &Engine) -> bool {
+        let rules = &self.cfg.rules;
+        if e.ready_at == 0 || self.now >= e.ready_at.saturating_add(rules.ramp_time) {
+            return true;
+        }
+        let cores = e.kind.and_then(|k| self.cfg.cores.get(k)).copied().unwrap_or(1.0);
+        let bears = rules.overload_factor * rules.start_capacity * cores * rules.fall as f64;
+        let since = self.now.saturating_sub(rules.fall);
+        let sent: f64 = e.recent.iter().filter(|s| s.0 >= since).map(|s| s.1).sum();
+        sent + self.classes[class].usual_work() <= COLD_SAFE * bears / f64::from(self.cfg.gateways)
+    }
+
+    /// Whether a request that was sent before may be sent again: effect, attempts, budget.
+    fn may_try_again(&self, r: &Request) -> bool {
+        let harmless = match (self.cfg.classes[r.class].effect, r.may_have_run) {
+            (Effect::Pure, _) | (_, None) => true,
+            (Effect::Keyed { window, .. }, Some((.., at))) => self.now < at.saturating_add(window),
+            (Effect::Unsafe, Some(_)) => false,
+        };
+        let budget = self.cfg.rules.retry_budget.is_none_or(|b| {
+            // Both counts over the same window; strictly inside it for ours, or a tick could break the rule.
+            let since = self.now.saturating_sub(b.look_back);
+            let taken = self.taken.iter().rev().take_while(|t| **t > since).count() as f64;
+            let extra = self.extras.iter().rev().take_while(|t| **t >= since).count() as f64;
+            extra + 1.0 <= b.spare + b.ratio * taken
+        });
+        let room = r.out.is_empty() || self.cfg.limits.second_copies;
+        harmless && budget && room && r.attempts < self.cfg.limits.max_attempts
+    }
+
+    /// Health of an engine from the end of an attempt.
+    fn judge(&mut self, sent: &Sent, o: &Outcome) {
+        let now = self.now;
+        let Some(e) = self.engines.get_mut(&o.engine) else { return };
+        let trial = matches!(e.health, Health::Ejected { trial: Some(t), .. } if t == o.request);
+        if let Health::Ejected { trial: t, .. } = &mut e.health
+            && trial
+        {
+            *t = None;
+        }
+        if let Some(told) = o.report.and_then(|r| r.in_flight).filter(|v| v.is_finite() && *v >= 0.0) {
+            e.told = Some(told);
+        }
+        let weight = match o.ending {
+            Ending::Good => {
+                e.heard = now;
+                e.failing *= 1.0 - FAIL_WEIGHT;
+                if trial || e.failing < FAIL_EJECT {
+                    e.health = Health::Well;
+                }
+                if e.failing < FAIL_EJECT * 0.1 {
+                    e.ejections = 0;
+                }
+                return;
+            }
+            Ending::Full => {
+                e.heard = now;
+                e.full_until = now + FULL_PAUSE;
+                return;
+            }
+            Ending::Bad | Ending::Reset => FAIL_WEIGHT,
+            Ending::NoConnection => REFUSED_WEIGHT,
+            // A deadline passed: no fault of the engine by itself; silence is judged apart.
+            Ending::Late if trial && e.heard < sent.at => 1.0,
+            Ending::Late | Ending::Cancelled | Ending::Moot => return,
+        };
+        e.failing += (1.0 - e.failing) * weight;
+        if e.failing >= FAIL_EJECT && (trial || e.health == Health::Well) {
+            self.eject(o.engine);
+        }
+    }
+
+    /// Outlier ejection with a limit: a fault of most engines is shared, and ejecting would not help.
+    fn eject(&mut self, id: EngineId) {
+        let listed = self.engines.values().filter(|e| e.readiness == Readiness::Up).count() as f64;
+        let others = self.engines.iter().filter(|(i, e)| **i != id && e.health != Health::Well).count();
+        if let Some(e) = self.engines.get_mut(&id)
+            && others as f64 + 1.0 <= (EJECT_PART * listed).max(1.0)
+        {
+            let time = (EJECT_FIRST << e.ejections.min(10)).min(EJECT_MAX);
+            e.ejections += 1;
+            e.health = Health::Ejected { until: self.now + time, trial: None };
+        }
+    }
+
+    /// Clears old counts, wakes rested keys, ends what is out of time, marks late work, finds silence.
+    fn housekeep(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let span = self.cfg.rules.retry_budget.map_or(0, |b| b.look_back);
+        for times in [&mut self.taken, &mut self.extras] {
+            while times.front().is_some_and(|t| *t + span < now) {
+                times.pop_front();
+            }
+        }
+        self.turns.retain(|_, t| !t.line.is_empty() || t.rest_until > now);
+        let rested: Vec<RequestId> = self
+            .turns
+            .values()
+            .filter(|t| t.rest_until <= now)
+            .filter_map(|t| t.line.front().copied())
+            .collect();
+        for id in rested {
+            self.enqueue(id, out);
+        }
+        while let Some(&(at, id)) = self.ends.first().filter(|(at, _)| *at <= now + END_MARGIN) {
+            self.ends.remove(&(at, id));
+            if self.requests.get(&id).is_some_and(|r| r.out.is_empty()) {
+                self.give_up(id, out);
+            }
+        }
+        for class in 0..self.classes.len() {
+            while let Some(id) = self.head(class, false) {
+                if self.requests[&id].rank.is_none_or(|r| r.1 >= now) {
+                    break;
+                }
+                self.dequeue(id);
+                self.enqueue(id, out);
+            }
+        }
+        let fall = self.cfg.rules.fall;
+        let mut silent = Vec::new();
+        for (id, e) in &mut self.engines {
+            while e.recent.front().is_some_and(|s| s.0 + fall < now) {
+                e.recent.pop_front();
+            }
+            let overdue = |s: &Sent| (now - s.at) as f64 > SILENT_TIMES * self.classes[s.class].run;
+            if e.health == Health::Well && now - e.heard > SILENT_FOR && e.out.iter().any(overdue) {
+                silent.push(*id);
+            }
+        }
+        for id in silent {
+            self.eject(id);
+        }
+        if self.next_ask.is_some_and(|at| at <= now) && !self.asked {
+            self.asked = true;
+            self.next_ask = None;
+            out.push(Action::Subscribe);
+        }
+    }
+
+    // ---- endings --------------------------------------------------------------------------------
+
+    /// Puts a request into its class queue, or answers it where waiting is no use.
+    fn enqueue(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&id) else { return };
+        if r.done || r.rank.is_some() || !r.out.is_empty() {
+            return;
+        }
+        let (c, s) = (&self.cfg.classes[r.class], &self.classes[r.class]);
+        // The latest start that meets the aim, when it runs as queries of its class run now.
+        let work = s.expected(r.guess);
+        let slow = (s.run * c.threads / s.work).max(1.0);
+        let slack = c.aim as f64 + (c.aim_stretch - slow) * work / c.threads;
+        let start_by = r.born + slack.max(c.aim as f64 * 0.25) as Micros;
+        let late = start_by < self.now;
+        let no_time = self.now + END_MARGIN >= r.valid_until;
+        let unwanted = late && c.late_worth < LATE_KEEP;
+        if no_time || unwanted || (r.attempts > 0 && !self.may_try_again(r)) {
+            return self.give_up(id, out);
+        }
+        let rank = (late, start_by, id);
+        self.classes[r.class].queue.insert(rank);
+        if let Some(r) = self.requests.get_mut(&id) {
+            r.rank = Some(rank);
+        }
+    }
+
+    fn dequeue(&mut self, id: RequestId) {
+        if let Some(r) = self.requests.get_mut(&id)
+            && let Some(rank) = r.rank.take()
+        {
+            self.classes[r.class].queue.remove(&rank);
+        }
+    }
+
+    /// Answers at once: refused where trying again is harmless, failed where that can't be told.
+    fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let never_ran = r.may_have_run.is_none() && r.out.is_empty();
+        let harmless = match self.cfg.classes[r.class].effect {
+            Effect::Pure | Effect::Keyed { group: Group::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Unsafe => never_ran,
+        };
+        let limits = &self.cfg.limits;
+        let hold_off = limits.retry_after.then_some(limits.max_retry_after);
+        let answer = if harmless { Action::Refuse { request: id, hold_off } } else { Action::Fail(id) };
+        self.end(id, Some(answer), out);
+    }
+
+    /// The one ending: answers if an answer is still owed, and passes the turn on.
+    fn end(&mut self, id: RequestId, answer: Option<Action>, out: &mut Vec<Action>) {
+        self.dequeue(id);
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if !r.done {
+            r.done = true;
+            out.extend(answer);
+            self.ends.remove(&(r.valid_until, id));
+            if r.attempts == 0 {
+                let waits = &mut self.classes[r.class].waits;
+                waits.0 += (self.now - r.came) as f64;
+                waits.1 += 1.0;
+            }
+        }
+        if !r.out.is_empty() {
+            return; // Its attempts still hold places, and its key.
+        }
+        let key = r.key;
+        self.requests.remove(&id);
+        if let Some(turn) = key.and_then(|k| self.turns.get_mut(&k)) {
+            turn.line.retain(|other| *other != id); // The next one starts at housekeeping, after the rest.
+        }
+    }
+}
+
+impl ClassState {
+    /// Usual work of the class for the cold budget.
+    fn usual_work(&self) -> f64 {
+        if self.seen < TAUGHT { self.work * COLD_PRIOR } else { self.work }
+    }
+
+    /// Work of one query: its estimate, freed of the class's steady factor, or the class's mean.
+    fn expected(&self, guess: Option<f64>) -> f64 {
+        match guess {
+            Some(g) if self.guessed > 0.0 => g * self.billed / self.guessed,
+            Some(g) => g,
+            None => self.work,
+        }
+    }
+}
+
+impl Engine {
+    fn new(entry: &Entry, bound: f64, now: Micros) -> Self {
+        Engine {
+            zone: entry.zone,
+            kind: entry.kind,
+            cell: entry.cell,
+            ready_at: entry.ready_at,
+            readiness: entry.readiness,
+            out: Vec::new(),
+            bound,
+            ran: 0.0,
+            worked: 0.0,
+            answers: 0,
+            told: None,
+            full_until: 0,
+            heard: now,
+            failing: 0.0,
+            health: Health::Well,
+            ejections: 0,
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// Run time against undisturbed run time, weighted by work.
+    fn stretch(&self) -> f64 {
+        if self.worked > 0.0 { self.ran / self.worked } else { 1.0 }
+    }
+}
+
+/// Settings that leave the mechanism without meaning are an error, not a guess.
+fn check(cfg: &Settings) -> Result<(), SettingsError> {
+    let sane = |v: f64| v.is_finite() && v >= 0.0;
+    if cfg.classes.is_empty() {
+        return Err(SettingsError("no classes"));
+    }
+    if cfg.gateways == 0 {
+        return Err(SettingsError("no gateways"));
+    }
+    for c in &cfg.classes {
+        if c.aim == 0 || c.deadline == 0 {
+            return Err(SettingsError("a class without aim or deadline"));
+        }
+        if !(c.threads.is_finite() && c.threads > 0.0) {
+            return Err(SettingsError("a class without threads"));
+        }
+        if ![c.aim_stretch, c.late_worth, c.worth].into_iter().all(sane) {
+            return Err(SettingsError("a class with a negative or endless figure"));
+        }
+    }
+    if !cfg.cores.iter().copied().all(sane) {
+        return Err(SettingsError("a negative or endless number of cores"));
+    }
+    if ![cfg.rules.start_capacity, cfg.rules.overload_factor].into_iter().all(sane) {
+        return Err(SettingsError("a negative or endless figure of the cold rule"));
+    }
+    Ok(())
+}
