--- a/src/control.rs
+++ b/src/control.rs
@@ -31,6 +31,11 @@
 const MIN_QUERIES: f64 = 2.0;
 /// Times the undisturbed run time that counts as pressure, and at which places are returned.
 const PRESSURE_STRETCH: f64 = 1.6;
+/// An engine without pressure may run this multiple of the slice: room for gateways of unequal load.
+const CALM_ROOM: f64 = 1.5;
+/// The undisturbed run time is the least mean of a period with this many answers; it forgets by a part.
+const BASE_ANSWERS: f64 = 5.0;
+const BASE_FORGETS: f64 = 1.01;
 const RETURN_STRETCH: f64 = 2.5;
 /// Part of answers within aim above which bounds may grow.
 const AIMS_MET: f64 = 0.8;
@@ -82,6 +87,9 @@
     work: f64,
     run: f64,
     seen: f64,
+    /// Run times of this period, and the mean of the fastest period: the undisturbed run.
+    ran: (f64, f64),
+    base: f64,
     /// Sums of true and of guessed work, for the steady factor of the estimates.
     billed: f64,
     guessed: f64,
@@ -133,11 +141,7 @@
 }
 
 struct Engine {
-    zone: Option<usize>,
-    kind: Option<usize>,
-    cell: u64,
-    ready_at: Micros,
-    readiness: Readiness,
+    entry: Entry,
     out: Vec<Sent>,
     /// Thread bound under pressure.
     bound: f64,
@@ -192,6 +196,8 @@
                 work: run * c.threads,
                 run,
                 seen: 0.0,
+                ran: (0.0, 0.0),
+                base: f64::INFINITY,
                 billed: 0.0,
                 guessed: 0.0,
                 patience: 0,
@@ -261,22 +267,21 @@
         if scope != Scope::Changes {
             // Danger: an engine missing from a full list is gone; sending on breaks the drain rule.
             for e in self.engines.values_mut() {
-                e.readiness = Readiness::Removed;
+                e.entry.readiness = Readiness::Removed;
             }
         }
         for entry in entries {
             let slice = self.slice(entry.kind);
             let e = self.engines.entry(entry.engine).or_insert_with(|| Engine::new(entry, slice, self.now));
-            if entry.ready_at > e.ready_at {
+            if entry.ready_at > e.entry.ready_at {
                 // A new process: cold again, and its predecessor's health says nothing of it.
                 let (out, recent) = (std::mem::take(&mut e.out), std::mem::take(&mut e.recent));
                 *e = Engine::new(entry, slice, self.now);
                 (e.out, e.recent) = (out, recent);
             }
-            (e.zone, e.kind, e.cell) = (entry.zone, entry.kind, entry.cell);
-            e.readiness = entry.readiness;
+            e.entry = entry.clone();
         }
-        self.engines.retain(|_, e| e.readiness != Readiness::Removed || !e.out.is_empty());
+        self.engines.retain(|_, e| e.entry.readiness != Readiness::Removed || !e.out.is_empty());
     }
 
     fn on_arrival(&mut self, a: &Arrival, out: &mut Vec<Action>) {
@@ -331,7 +336,7 @@
         r.out.retain(|(hop, _)| *hop != o.hop);
         let proof = matches!(o.ending, Ending::Full | Ending::NoConnection | Ending::Moot);
         if !proof && r.may_have_run.is_none() {
-            let place = self.engines.get(&o.engine).map_or((None, 0), |e| (e.zone, e.cell));
+            let place = self.engines.get(&o.engine).map_or((None, 0), |e| (e.entry.zone, e.entry.cell));
             r.may_have_run = Some((place.0, place.1, sent.at));
         }
         if let (Some(key), Ending::Late | Ending::Reset | Ending::Cancelled) = (r.key, o.ending)
@@ -355,8 +360,12 @@
     /// Means of a class and the stretch of an engine, from a served query.
     fn learn(&mut self, sent: &Sent, o: &Outcome) {
         let (c, threads) = (&mut self.classes[sent.class], self.cfg.classes[sent.class].threads);
-        let (ran, usual) = (o.elapsed as f64 * threads, c.work);
-        // Without bills the run time stands in for the work: too high rather than too low.
+        let ran = o.elapsed as f64 * threads;
+        c.ran.0 += o.elapsed as f64;
+        c.ran.1 += 1.0;
+        // Danger: without bills the mean run rises with the load; measured against it, nothing looks slow.
+        let usual = c.base.min(c.run) * threads;
+        // The run time stands in for the work there: too high rather than too low.
         let work = o.work.map_or(ran, |w| w as f64).max(1.0);
         c.seen += 1.0;
         let weight = (1.0 / c.seen).max(MEAN_WEIGHT);
@@ -409,22 +418,32 @@
         (c.aim as f64 + (c.aim_stretch - 1.0) * alone).max(c.aim as f64 * 0.25).max(1.0)
     }
 
+    fn cores(&self, kind: Option<usize>) -> f64 {
+        kind.and_then(|k| self.cfg.cores.get(k)).copied().unwrap_or(1.0)
+    }
+
     /// This gateway's threads on an engine of this kind, all gateways being equal.
     fn slice(&self, kind: Option<usize>) -> f64 {
-        let cores = kind.and_then(|k| self.cfg.cores.get(k)).copied().unwrap_or(1.0);
         let most = self.cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
-        (THREADS_PER_CORE * cores / f64::from(self.cfg.gateways)).max(MIN_QUERIES * most)
+        (THREADS_PER_CORE * self.cores(kind) / f64::from(self.cfg.gateways)).max(MIN_QUERIES * most)
     }
 
     /// Grows a bound while requests wait and aims are met; returns places as latency grows.
     fn update_bounds(&mut self) {
         let waiting = self.classes.iter().any(|c| !c.queue.is_empty());
         let met = self.met.1 == 0.0 || self.met.0 >= AIMS_MET * self.met.1;
-        let slices: Vec<f64> = self.engines.values().map(|e| self.slice(e.kind)).collect();
+        for c in &mut self.classes {
+            let (sum, n) = std::mem::take(&mut c.ran);
+            c.base *= BASE_FORGETS;
+            if n >= BASE_ANSWERS {
+                c.base = c.base.min(sum / n);
+            }
+        }
+        let slices: Vec<f64> = self.engines.values().map(|e| self.slice(e.entry.kind)).collect();
         for (e, slice) in self.engines.values_mut().zip(slices) {
             if e.answers > 0 {
                 if e.stretch() > RETURN_STRETCH {
-                    e.bound -= 1.0;
+                    e.bound *= 0.8;
                 } else if waiting && met {
                     e.bound += 1.0;
                 }
@@ -439,9 +458,17 @@
 
     /// Threads that this gateway may run there now.
     fn places(&self, e: &Engine) -> f64 {
-        // Danger: silence is no proof of calm; only answers with little stretch lift the bound.
-        let calm = e.worked > 0.0 && e.stretch() < PRESSURE_STRETCH && self.now >= e.full_until;
-        if calm { GROWTH_MAX * self.slice(e.kind) } else { e.bound }
+        // Danger: silence is no proof of calm; only fresh answers with little stretch lift the bound.
+        let fresh = self.now < e.heard + PERIOD && e.worked > 0.0;
+        let (mut threads, mut n) = (0.0, 0.0);
+        for (c, spec) in self.classes.iter().zip(&self.cfg.classes) {
+            threads += c.seen * c.run * spec.threads;
+            n += c.seen * c.run;
+        }
+        let crowded =
+            e.told.is_some_and(|t| n > 0.0 && t * threads / n > THREADS_PER_CORE * self.cores(e.entry.kind));
+        let calm = fresh && e.stretch() < PRESSURE_STRETCH && !crowded && self.now >= e.full_until;
+        if calm { e.bound.max(CALM_ROOM * self.slice(e.entry.kind)) } else { e.bound }
     }
 
     // ---- dispatch -------------------------------------------------------------------------------
@@ -570,8 +597,8 @@
         };
         // Danger: a keyed request that may have run is safe only where its repeat is still recognised.
         let group = match (c.effect, r.may_have_run) {
-            (Effect::Keyed { group: Group::Zone, .. }, Some((zone, ..))) => e.zone == zone,
-            (Effect::Keyed { group: Group::Cell, .. }, Some((_, cell, _))) => e.cell == cell,
+            (Effect::Keyed { group: Group::Zone, .. }, Some((zone, ..))) => e.entry.zone == zone,
+            (Effect::Keyed { group: Group::Cell, .. }, Some((_, cell, _))) => e.entry.cell == cell,
             _ => true,
         };
         let healthy = match e.health {
@@ -581,9 +608,9 @@
             }
         };
         let threads: f64 = e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum();
-        e.readiness == Readiness::Up
-            && within(&c.zones, e.zone)
-            && within(&c.kinds, e.kind)
+        e.entry.readiness == Readiness::Up
+            && within(&c.zones, e.entry.zone)
+            && within(&c.kinds, e.entry.kind)
             && group
             && healthy
             && self.now >= e.full_until
@@ -596,11 +623,11 @@
     /// is sure to bear from its start on, in every window, until it is surely warm.
     fn cold_room(&self, class: usize, e: &Engine) -> bool {
         let rules = &self.cfg.rules;
-        if e.ready_at == 0 || self.now >= e.ready_at.saturating_add(rules.ramp_time) {
+        if e.entry.ready_at == 0 || self.now >= e.entry.ready_at.saturating_add(rules.ramp_time) {
             return true;
         }
-        let cores = e.kind.and_then(|k| self.cfg.cores.get(k)).copied().unwrap_or(1.0);
-        let bears = rules.overload_factor * rules.start_capacity * cores * rules.fall as f64;
+        let bears =
+            rules.overload_factor * rules.start_capacity * self.cores(e.entry.kind) * rules.fall as f64;
         let since = self.now.saturating_sub(rules.fall);
         let sent: f64 = e.recent.iter().filter(|s| s.0 >= since).map(|s| s.1).sum();
         sent + self.classes[class].usual_work() <= COLD_SAFE * bears / f64::from(self.cfg.gateways)
@@ -668,7 +695,7 @@
 
     /// Outlier ejection with a limit: a fault of most engines is shared, and ejecting would not help.
     fn eject(&mut self, id: EngineId) {
-        let listed = self.engines.values().filter(|e| e.readiness == Readiness::Up).count() as f64;
+        let listed = self.engines.values().filter(|e| e.entry.readiness == Readiness::Up).count() as f64;
         let others = self.engines.iter().filter(|(i, e)| **i != id && e.health != Health::Well).count();
         if let Some(e) = self.engines.get_mut(&id)
             && others as f64 + 1.0 <= (EJECT_PART * listed).max(1.0)
@@ -827,11 +854,7 @@
 impl Engine {
     fn new(entry: &Entry, bound: f64, now: Micros) -> Self {
         Engine {
-            zone: entry.zone,
-            kind: entry.kind,
-            cell: entry.cell,
-            ready_at: entry.ready_at,
-            readiness: entry.readiness,
+            entry: entry.clone(),
             out: Vec::new(),
             bound,
             ran: 0.0,
