Places: this gateway's part is what the others leave, where engines tell what they hold

May hurt when reports are older than a burst: they expire after one period, then the even bound acts.

--- a/src/control.rs
+++ b/src/control.rs
@@ -79,6 +79,7 @@
 /// Order in a class queue: late work last, then by the latest start that meets the aim.
 type Rank = (bool, Micros, RequestId);
 
+#[derive(Default)]
 struct ClassState {
     queue: BTreeSet<Rank>,
     /// Sum and count of waits in this period.
@@ -97,6 +98,7 @@
     patience: Micros,
 }
 
+#[derive(Default)]
 struct Request {
     class: usize,
     key: Option<KeyId>,
@@ -148,9 +150,9 @@
     /// Decayed sums of run time × threads and of work: their ratio is the stretch.
     ran: f64,
     worked: f64,
-    /// Answers of this period; latest told number of queries in flight from all gateways.
+    /// Answers of this period; threads of other gateways as last told, and when.
     answers: u32,
-    told: Option<f64>,
+    told: Option<(f64, Micros)>,
     full_until: Micros,
     heard: Micros,
     failing: f64,
@@ -190,18 +192,7 @@
         check(&cfg)?;
         let classes = cfg.classes.iter().map(|c| {
             let run = (c.deadline as f64 * PRIOR_WORK).max(1.0);
-            ClassState {
-                queue: BTreeSet::new(),
-                waits: (0.0, 0.0),
-                work: run * c.threads,
-                run,
-                seen: 0.0,
-                ran: (0.0, 0.0),
-                base: f64::INFINITY,
-                billed: 0.0,
-                guessed: 0.0,
-                patience: 0,
-            }
+            ClassState { work: run * c.threads, run, base: f64::INFINITY, ..ClassState::default() }
         });
         let pairs = cfg.classes.len() - 1;
         Ok(Controller {
@@ -303,12 +294,7 @@
             guess: a.guess.map(|g| g as f64).filter(|g| *g > 0.0),
             born,
             came: self.now,
-            rank: None,
-            attempts: 0,
-            out: Vec::new(),
-            tried: Vec::new(),
-            may_have_run: None,
-            done: false,
+            ..Request::default()
         };
         self.requests.insert(a.request, request);
         self.ends.insert((a.valid_until, a.request));
@@ -458,17 +444,29 @@
 
     /// Threads that this gateway may run there now.
     fn places(&self, e: &Engine) -> f64 {
+        let slice = self.slice(e.entry.kind);
+        if let Some((others, at)) = e.told
+            && self.now < at + PERIOD
+        {
+            // Danger: even parts leave a busy gateway short and, with many gateways, add up to too much. Where
+            // engines tell what they hold, this gateway's part is what the others leave, one query at least.
+            let left = THREADS_PER_CORE * self.cores(e.entry.kind) - others;
+            return left.clamp(slice / MIN_QUERIES, GROWTH_MAX * slice);
+        }
         // Danger: silence is no proof of calm; only fresh answers with little stretch lift the bound.
         let fresh = self.now < e.heard + PERIOD && e.worked > 0.0;
-        let (mut threads, mut n) = (0.0, 0.0);
+        let calm = fresh && e.stretch() < PRESSURE_STRETCH && self.now >= e.full_until;
+        if calm { e.bound.max(CALM_ROOM * slice) } else { e.bound }
+    }
+
+    /// Threads of a usual query in flight.
+    fn mix(&self) -> f64 {
+        let (mut threads, mut n) = (1.0, 1.0);
         for (c, spec) in self.classes.iter().zip(&self.cfg.classes) {
             threads += c.seen * c.run * spec.threads;
             n += c.seen * c.run;
         }
-        let crowded =
-            e.told.is_some_and(|t| n > 0.0 && t * threads / n > THREADS_PER_CORE * self.cores(e.entry.kind));
-        let calm = fresh && e.stretch() < PRESSURE_STRETCH && !crowded && self.now >= e.full_until;
-        if calm { e.bound.max(CALM_ROOM * self.slice(e.entry.kind)) } else { e.bound }
+        threads / n
     }
 
     // ---- dispatch -------------------------------------------------------------------------------
@@ -653,7 +651,7 @@
 
     /// Health of an engine from the end of an attempt.
     fn judge(&mut self, sent: &Sent, o: &Outcome) {
-        let now = self.now;
+        let (now, mix) = (self.now, self.mix());
         let Some(e) = self.engines.get_mut(&o.engine) else { return };
         let trial = matches!(e.health, Health::Ejected { trial: Some(t), .. } if t == o.request);
         if let Health::Ejected { trial: t, .. } = &mut e.health
@@ -662,7 +660,8 @@
             *t = None;
         }
         if let Some(told) = o.report.and_then(|r| r.in_flight).filter(|v| v.is_finite() && *v >= 0.0) {
-            e.told = Some(told);
+            let others = (told - e.out.len() as f64 - 1.0).max(0.0) * mix;
+            e.told = Some((e.told.map_or(others, |(before, _)| (before + others) * 0.5), now));
         }
         let weight = match o.ending {
             Ending::Good => {
