--- /dev/null
+++ b/simhost/tests/wire.rs
@@ -0,0 +1,101 @@
+//! The adapter on hand-written wire lines.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+fn play(lines: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hoptiller-simhost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    child.stdin.take().expect("piped").write_all(lines.as_bytes()).expect("written");
+    child.wait_with_output().expect("it ends with its input")
+}
+
+fn hello(i: u32) -> String {
+    format!(
+        r#"{{"hello":{{"i":{i},"salt":4,"settings":{{"balancers":1,"tick":5,"zones":["z"],"kinds":["k"],"unknownSetting":1,
+        "lanes":[{{"name":"short","aim":1000,"deadline":5000,"semantics":"pure","importance":1}}],
+        "extra":{{"cpuOfKind":[8],"parallelism":[1]}},"limits":{{"maxAttempts":2}}}}}}}}"#
+    )
+    .replace('\n', "")
+}
+
+const LIST: &str = r#"{"roster":{"table":3,"elements":[{"engine":51,"zone":"z","machine":"k","weight":0,"readiness":"up"}]}}"#;
+
+fn start(i: u32) -> String {
+    format!(r#"{},{LIST},{{"sync":{{"i":{i},"scope":"remembered","table":3}}}}"#, hello(i))
+}
+
+fn work(i: u32, handle: &str) -> String {
+    format!(r#"{{"workItem":{{"i":{i},"handle":"{handle}","profile":"short","validUntil":6000.5}}}}"#)
+}
+
+fn batch(number: u32, at: u32, events: &str) -> String {
+    format!("{{\"atTime\":{at},\"batch\":{number},\"happened\":[{events}]}}\n")
+}
+
+#[test]
+fn a_request_is_handed_off_and_replies_name_their_batch() {
+    let out = play(&(batch(1, 0, "") + &batch(2, 1000, &format!("{},{}", start(3), work(3, "rq_a")))));
+    let text = String::from_utf8(out.stdout).expect("UTF-8");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines[0], r#"{"batch":1,"do":[]}"#);
+    assert!(lines[1].contains(r#"{"handOff":{"i":3,"handle":"rq_a","engine":51}}"#), "{}", lines[1]);
+    assert!(out.status.success());
+}
+
+#[test]
+fn a_restart_in_one_batch_forgets_everything() {
+    let lines = batch(1, 1000, &format!("{},{}", start(3), work(3, "rq_a")))
+        + &batch(2, 2000, &format!(r#"{{"detach":{{"i":3}}}},{}"#, hello(3)))
+        + &batch(3, 2005, r#"{"outcome":{"i":3,"handle":"rq_a","engine":51,"ending":"BAD","elapsed":9}}"#);
+    let text = String::from_utf8(play(&lines).stdout).expect("UTF-8");
+    assert!(!text.lines().nth(2).expect("three replies").contains("rq_a"));
+}
+
+#[test]
+fn an_instance_acts_alike_alone_and_beside_others() {
+    let own = |text: &[u8]| {
+        String::from_utf8_lossy(text)
+            .split("{\"")
+            .filter(|part| part.starts_with("i\":3,"))
+            .map(|part| part.split('}').next().unwrap_or("").to_string())
+            .collect::<Vec<_>>()
+    };
+    let alone = play(&batch(1, 1000, &format!("{},{}", start(3), work(3, "rq_a"))));
+    let both = [start(3), start(4), work(4, "rq_b"), work(3, "rq_a")].join(",");
+    let both = play(&batch(1, 1000, &both));
+    assert!(!own(&alone.stdout).is_empty());
+    assert_eq!(own(&alone.stdout), own(&both.stdout));
+}
+
+#[test]
+fn malformed_lines_end_it_with_a_plain_message() {
+    for (bad, named) in [
+        ("no json", "line 2"),
+        (r#"{"batch":2,"happened":[]}"#, "atTime"),
+        (
+            r#"{"atTime":1,"batch":2,"happened":[{"workItem":{"i":3,"profile":"short","validUntil":9}}]}"#,
+            "handle",
+        ),
+        (r#"{"atTime":1,"batch":2,"happened":[{"sync":{"i":3,"scope":"odd"}}]}"#, "odd"),
+        (
+            r#"{"atTime":1,"batch":2,"happened":[{"outcome":{"i":3,"handle":"a","engine":1,"ending":"ODD"}}]}"#,
+            "ODD",
+        ),
+    ] {
+        let out = play(&format!("{}{bad}\n", batch(1, 0, "")));
+        let message = String::from_utf8_lossy(&out.stderr).to_string();
+        assert!(!out.status.success() && message.contains("line 2") && message.contains(named), "{message}");
+        assert_eq!(String::from_utf8_lossy(&out.stdout).lines().count(), 1);
+    }
+}
+
+#[test]
+fn unusable_settings_become_an_internal_error() {
+    let out = play(&batch(1, 0, r#"{"hello":{"i":3,"salt":1,"settings":{}}}"#));
+    assert!(String::from_utf8_lossy(&out.stdout).contains("internalError"));
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -885,11 +885,8 @@
         return Err(SettingsError("no gateways"));
     }
     for c in &cfg.classes {
-        if c.aim == 0 || c.deadline == 0 {
-            return Err(SettingsError("a class without aim or deadline"));
-        }
-        if !(c.threads.is_finite() && c.threads > 0.0) {
-            return Err(SettingsError("a class without threads"));
+        if c.aim == 0 || c.deadline == 0 || !(c.threads.is_finite() && c.threads > 0.0) {
+            return Err(SettingsError("a class without aim, deadline or threads"));
         }
         if ![c.aim_stretch, c.late_worth, c.worth].into_iter().all(sane) {
             return Err(SettingsError("a class with a negative or endless figure"));
--- /dev/null
+++ b/tests/mechanism.rs
@@ -0,0 +1,153 @@
+//! The loop, the draw, the places and the health of engines.
+
+mod common;
+use common::*;
+use hoptiller::*;
+
+/// Two classes of 20 clients each, who ask again when served, on one engine; the mean waits once settled.
+fn waits(aims: [Micros; 2]) -> [f64; 2] {
+    let mut classes = vec![class(Effect::Pure), class(Effect::Pure)];
+    for (c, aim) in classes.iter_mut().zip(aims) {
+        (c.aim, c.deadline, c.aim_stretch, c.late_worth) = (aim, 60 * S, 1.0, 1.0);
+    }
+    let mut c = Controller::new(settings(classes), 3).expect("usable settings");
+    let mut came: Vec<(Micros, usize)> = (0..40).map(|id| (S, id % 2)).collect();
+    let mut events = vec![list(Scope::All, &[1])];
+    events.extend((0..40).map(|id| arrival(id, id as usize % 2, 61 * S)));
+    let mut sums = [(0.0, 0.0); 2];
+    let mut running: Vec<(Micros, u64, u32)> = Vec::new();
+    for tick in 0..40_000u64 {
+        let now = S + tick * 5 * MS;
+        running.retain(|(end, id, engine)| {
+            let ended = *end <= now;
+            if ended {
+                events.push(outcome(*id, 0, *engine, Ending::Good));
+                let class = came[*id as usize].1;
+                events.push(arrival(came.len() as u64, class, now + 60 * S));
+                came.push((now, class));
+            }
+            !ended
+        });
+        for (id, engine) in sends(&step(&mut c, now, &events)) {
+            running.push((now + 300 * MS, id, engine));
+            let (at, class) = came[id as usize];
+            if tick > 20_000 {
+                sums[class].0 += (now - at) as f64;
+                sums[class].1 += 1.0;
+            }
+        }
+        events.clear();
+    }
+    sums.map(|(sum, n)| sum / n)
+}
+
+#[test]
+fn the_loop_converges_on_the_ratio_of_the_aims() {
+    let [a, b] = waits([2 * S, 6 * S]);
+    assert!((0.23..0.45).contains(&(a / b)), "waits {a} and {b}, wanted 1 to 3");
+    let [a, b] = waits([6 * S, 2 * S]);
+    assert!((2.2..4.2).contains(&(a / b)), "waits {a} and {b}, wanted 3 to 1");
+}
+
+#[test]
+fn an_empty_drawn_queue_yields() {
+    let mut c = Controller::new(settings(vec![class(Effect::Pure), class(Effect::Pure)]), 1)
+        .expect("usable settings");
+    let out = step(&mut c, S, &[list(Scope::All, &[1]), arrival(1, 1, 6 * S), arrival(2, 1, 6 * S)]);
+    assert_eq!(sends(&out).len(), 2);
+}
+
+#[test]
+fn places_are_bounded_per_engine() {
+    let mut c = Controller::new(settings(vec![class(Effect::Pure)]), 1).expect("usable settings");
+    let mut events = vec![list(Scope::All, &[1])];
+    events.extend((0..50).map(|id| arrival(id, 0, 6 * S)));
+    // One gateway, four cores, two threads a core.
+    assert_eq!(sends(&step(&mut c, S, &events)).len(), 8);
+}
+
+#[test]
+fn an_engine_that_others_fill_gets_less() {
+    let mut c = Controller::new(settings(vec![class(Effect::Pure)]), 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &[1]), arrival(0, 0, 6 * S)]);
+    let told = |in_flight| match outcome(0, 0, 1, Ending::Good) {
+        Event::Outcome(o) => {
+            Event::Outcome(Outcome { report: Some(LoadReport { in_flight: Some(in_flight) }), ..o })
+        }
+        other => other,
+    };
+    let mut events = vec![told(4.0)];
+    events.extend((1..50).map(|id| arrival(id, 0, 6 * S)));
+    assert_eq!(sends(&step(&mut c, S + 100 * MS, &events)).len(), 5, "8 threads less 3 of others");
+}
+
+#[test]
+fn an_engine_that_fails_fast_is_ejected_and_tried_again() {
+    let mut c = Controller::new(settings(vec![class(Effect::Pure)]), 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &[1, 2, 3])]);
+    let (mut to_bad, mut id, mut tries) = ([0, 0], 0, (0, 0));
+    for tick in 0..600u64 {
+        let now = S + tick * 20 * MS;
+        let mut events = vec![arrival(id, 0, now + 5 * S)];
+        id += 1;
+        for _ in 0..3 {
+            let out = sends(&step(&mut c, now, &events));
+            to_bad[usize::from(tick > 100)] += out.iter().filter(|s| s.1 == 1).count();
+            events = out
+                .iter()
+                .map(|(r, e)| {
+                    outcome(
+                        *r,
+                        next_hop(*r, &mut tries),
+                        *e,
+                        if *e == 1 { Ending::Bad } else { Ending::Good },
+                    )
+                })
+                .collect();
+        }
+    }
+    assert!(to_bad[0] > 0 && to_bad[1] >= 1, "it is tried again: {to_bad:?}");
+    assert!(to_bad[1] < 20, "without health it would get a third: {to_bad:?}");
+}
+
+#[test]
+fn a_silent_engine_is_ejected() {
+    let mut c = Controller::new(settings(vec![class(Effect::Pure)]), 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &[1, 2, 3])]);
+    let (mut to_silent, mut id) = (0, 0);
+    for tick in 0..300u64 {
+        let now = S + tick * 20 * MS;
+        let out = sends(&step(&mut c, now, &[arrival(id, 0, now + 60 * S)]));
+        id += 1;
+        let served: Vec<Event> =
+            out.iter().filter(|s| s.1 != 1).map(|(r, e)| outcome(*r, 0, *e, Ending::Good)).collect();
+        step(&mut c, now + MS, &served);
+        to_silent += out.iter().filter(|s| s.1 == 1 && tick > 150).count();
+    }
+    assert!(to_silent <= 1, "half-open: one trial at most is out, {to_silent}");
+}
+
+#[test]
+fn what_hits_all_engines_ejects_at_most_half() {
+    let mut c = Controller::new(settings(vec![class(Effect::Pure)]), 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &[1, 2, 3, 4])]);
+    let (mut late_sends, mut tries) = (0, (0, 0));
+    for tick in 0..200u64 {
+        let now = S + tick * 20 * MS;
+        let mut events = vec![arrival(tick, 0, now + 5 * S)];
+        for _ in 0..4 {
+            let out = sends(&step(&mut c, now, &events));
+            late_sends += usize::from(tick > 100 && !out.is_empty());
+            events =
+                out.iter().map(|(r, e)| outcome(*r, next_hop(*r, &mut tries), *e, Ending::Bad)).collect();
+        }
+    }
+    assert!(late_sends > 90, "the rest stays open: {late_sends}");
+}
+
+/// Attempts are numbered from 0 for each request; `last` holds the request and its next number.
+fn next_hop(request: u64, last: &mut (u64, u32)) -> u32 {
+    let hop = if last.0 == request { last.1 } else { 0 };
+    *last = (request, hop + 1);
+    hop
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,157 @@
+//! Each of the seven rules with a case that would break it.
+
+mod common;
+use common::*;
+use hoptiller::*;
+
+fn controller(classes: Vec<Class>) -> Controller {
+    Controller::new(settings(classes), 1).expect("usable settings")
+}
+
+#[test]
+fn every_request_is_answered_when_no_engine_is_known() {
+    let mut c = controller(vec![class(Effect::Pure)]);
+    let mut answered = answers(&step(&mut c, S, &[arrival(1, 0, 6 * S)]));
+    for now in (S..6 * S).step_by(20_000) {
+        answered.extend(answers(&step(&mut c, now, &[Event::Wakeup])));
+    }
+    assert_eq!(answered, [(1, true)]);
+}
+
+#[test]
+fn a_time_out_at_the_deadline_is_answered_in_the_same_batch() {
+    let mut c = controller(vec![class(Effect::Unsafe)]);
+    step(&mut c, S, &[list(Scope::All, &[1]), arrival(1, 0, 6 * S)]);
+    let out = step(&mut c, 6 * S + MS, &[outcome(1, 0, 1, Ending::Late)]);
+    assert_eq!(answers(&out), [(1, false)], "it may have run: no refusal");
+}
+
+#[test]
+fn nothing_is_said_of_a_request_its_client_left() {
+    let mut c = controller(vec![class(Effect::Pure)]);
+    let out = step(&mut c, S, &[arrival(1, 0, 6 * S), Event::Dropped(RequestId(1))]);
+    assert!(answers(&out).is_empty());
+    let out = step(&mut c, 2 * S, &[list(Scope::All, &[1])]);
+    assert!(sends(&out).is_empty() && answers(&out).is_empty());
+}
+
+#[test]
+fn an_unsafe_request_is_repeated_only_with_proof() {
+    let mut c = controller(vec![class(Effect::Unsafe)]);
+    let first = step(&mut c, S, &[list(Scope::All, &[1, 2]), arrival(1, 0, 6 * S)]);
+    let engine = sends(&first)[0].1;
+    let out = step(&mut c, S + MS, &[outcome(1, 0, engine, Ending::NoConnection)]);
+    assert_eq!(sends(&out), [(1, 3 - engine)], "never ran: another attempt elsewhere");
+    let out = step(&mut c, S + 2 * MS, &[outcome(1, 1, 3 - engine, Ending::Reset)]);
+    assert!(sends(&out).is_empty());
+    assert_eq!(answers(&out), [(1, false)]);
+}
+
+#[test]
+fn a_keyed_request_stays_in_its_group_and_window() {
+    let keyed_class = class(Effect::Keyed { group: Group::Cell, window: 300 * MS });
+    let mut c = controller(vec![keyed_class]);
+    let mut other = entry(2, 0);
+    other.cell = 9;
+    let fleet = Event::List(Scope::All, vec![entry(1, 0), other]);
+    let first = step(&mut c, S, &[fleet, arrival(1, 0, 6 * S)]);
+    let engine = sends(&first)[0].1;
+    let out = step(&mut c, S + 100 * MS, &[outcome(1, 0, engine, Ending::Reset)]);
+    assert_eq!(sends(&out), [(1, engine)], "only its own cell knows the key");
+    let out = step(&mut c, S + 400 * MS, &[outcome(1, 1, engine, Ending::Reset)]);
+    assert!(sends(&out).is_empty(), "the window from the first attempt is over");
+    assert_eq!(answers(&out), [(1, false)]);
+}
+
+#[test]
+fn draining_removed_and_missing_engines_get_nothing() {
+    for gone in [Readiness::Draining, Readiness::Removed] {
+        let mut c = controller(vec![class(Effect::Pure)]);
+        let mut e = entry(1, 0);
+        e.readiness = gone;
+        let news = [list(Scope::All, &[1]), Event::List(Scope::Changes, vec![e]), arrival(1, 0, 6 * S)];
+        assert!(sends(&step(&mut c, S, &news)).is_empty());
+    }
+    let mut c = controller(vec![class(Effect::Pure)]);
+    let news = [list(Scope::All, &[1]), list(Scope::All, &[2]), arrival(1, 0, 6 * S)];
+    assert_eq!(sends(&step(&mut c, S, &news)), [(1, 2)]);
+}
+
+#[test]
+fn a_cold_engine_gets_its_safe_part_even_in_a_burst() {
+    let mut c = controller(vec![class(Effect::Pure)]);
+    let mut cold = entry(1, 0);
+    cold.ready_at = 20 * S;
+    let mut events = vec![Event::List(Scope::All, vec![cold])];
+    events.extend((0..100).map(|id| arrival(id, 0, 25 * S)));
+    let mut sent = 0;
+    for tick in 0..200 {
+        let out = step(&mut c, 20 * S + tick * 5 * MS, &events);
+        events = sends(&out).iter().map(|(id, e)| outcome(*id, 0, *e, Ending::Full)).collect();
+        sent += sends(&out).len();
+    }
+    // Untaught, a query counts 1 s of work: 0.5 × 3 × 0.3 × 4 cores × 1 s bears one. What is refused counts.
+    assert_eq!(sent, 1);
+}
+
+#[test]
+fn a_restart_under_the_same_id_is_cold_again() {
+    let mut c = controller(vec![class(Effect::Pure)]);
+    let mut again = entry(1, 0);
+    again.ready_at = 19 * S;
+    let mut events = vec![list(Scope::All, &[1]), Event::List(Scope::Changes, vec![again])];
+    events.extend((0..10).map(|id| arrival(id, 0, 25 * S)));
+    assert_eq!(sends(&step(&mut c, 20 * S, &events)).len(), 1);
+}
+
+#[test]
+fn one_key_runs_one_at_a_time_and_rests_after_a_time_out() {
+    let mut ordered = class(Effect::Pure);
+    ordered.in_turn = true;
+    let mut c = controller(vec![ordered]);
+    let first = [list(Scope::All, &[1, 2]), keyed(1, 0, 3 * S, 7), keyed(2, 0, 9 * S, 7)];
+    let out = step(&mut c, S, &first);
+    let (id, engine) = sends(&out)[0];
+    assert_eq!((id, sends(&out).len()), (1, 1));
+    let mut sent = sends(&step(&mut c, 3 * S, &[outcome(1, 0, engine, Ending::Late)]));
+    for now in (3 * S..3 * S + 480 * MS).step_by(20_000) {
+        sent.extend(sends(&step(&mut c, now, &[])));
+    }
+    assert!(sent.is_empty(), "the key rests");
+    for now in (3 * S + 500 * MS..4 * S).step_by(20_000) {
+        sent.extend(sends(&step(&mut c, now, &[])));
+    }
+    assert_eq!(sent.first().map(|s| s.0), Some(2));
+}
+
+#[test]
+fn a_bound_class_waits_rather_than_leave_its_kind() {
+    let mut bound = class(Effect::Pure);
+    bound.kinds = Some(vec![1]);
+    let mut c = controller(vec![bound]);
+    let out = step(&mut c, S, &[list(Scope::All, &[1]), arrival(1, 0, 6 * S)]);
+    assert!(sends(&out).is_empty());
+    let out = step(&mut c, S + MS, &[Event::List(Scope::Changes, vec![entry(2, 1)])]);
+    assert_eq!(sends(&out), [(1, 2)]);
+}
+
+#[test]
+fn further_attempts_keep_to_the_budget() {
+    let mut cfg = settings(vec![class(Effect::Pure)]);
+    cfg.rules.retry_budget = Some(RetryBudget { spare: 1.0, ratio: 0.0, look_back: 10 * S });
+    let mut c = Controller::new(cfg, 1).expect("usable settings");
+    let events = [list(Scope::All, &[1, 2, 3, 4]), arrival(1, 0, 6 * S), arrival(2, 0, 6 * S)];
+    let out = step(&mut c, S, &events);
+    let failed: Vec<Event> = sends(&out).iter().map(|(id, e)| outcome(*id, 0, *e, Ending::Bad)).collect();
+    let out = step(&mut c, S + MS, &failed);
+    assert_eq!(sends(&out).len(), 1);
+    assert_eq!(answers(&out).len(), 1, "the other is answered at once");
+}
+
+#[test]
+fn unusable_settings_are_an_error() {
+    assert!(Controller::new(settings(vec![]), 1).is_err());
+    let mut threadless = class(Effect::Pure);
+    threadless.threads = f64::NAN;
+    assert!(Controller::new(settings(vec![threadless]), 1).is_err());
+}
