--- a/src/control.rs
+++ b/src/control.rs
@@ -20,9 +20,9 @@
 const GAIN_BEFORE: f64 = 0.1;
 /// Bound of the error, so that one odd ratio cannot throw x (anti-windup).
 const ERROR_MAX: f64 = 2.0;
-/// Bounds of x: a class keeps at least about one draw in 17 against its neighbour (anti-windup).
-const X_MIN: f64 = 1.0 / 16.0;
-const X_MAX: f64 = 16.0;
+/// Bounds of x: a class keeps at least about one draw in 65 against its neighbour (anti-windup).
+const X_MIN: f64 = 1.0 / 64.0;
+const X_MAX: f64 = 64.0;
 /// Threads per told core that all gateways together keep running under pressure (DESIGN, ours).
 const THREADS_PER_CORE: f64 = 2.0;
 /// Bounds grow to this multiple of the slice (DESIGN, ours).
@@ -389,7 +389,7 @@
             if a.max(b) <= 2.0 * least {
                 continue; // Nobody waits: the ratio is noise.
             }
-            let target = self.bearable(j) / self.bearable(j + 1);
+            let target = (self.reference(j) / self.reference(j + 1)).clamp(X_MIN, X_MAX);
             let error = (target - a.max(least) / b.max(least)).clamp(-ERROR_MAX, ERROR_MAX);
             let step = GAIN_NOW * error - GAIN_BEFORE * self.last_error[j];
             self.x[j] = (self.x[j] + step).clamp(X_MIN, X_MAX);
@@ -397,11 +397,13 @@
         }
     }
 
-    /// δ of a class: the wait that its aim leaves to a usual query that runs undisturbed.
-    fn bearable(&self, class: usize) -> f64 {
+    /// δ of a class: the wait that its aim leaves to a usual query that runs undisturbed, by the work that
+    /// a unit of its worth takes: who gives most for a place waits least.
+    fn reference(&self, class: usize) -> f64 {
         let (c, s) = (&self.cfg.classes[class], &self.classes[class]);
         let alone = s.work / c.threads;
-        (c.aim as f64 + (c.aim_stretch - 1.0) * alone).max(c.aim as f64 * 0.25).max(1.0)
+        let bearable = (c.aim as f64 + (c.aim_stretch - 1.0) * alone).max(c.aim as f64 * 0.25);
+        bearable * s.work.max(1.0) / c.worth.max(f64::MIN_POSITIVE)
     }
 
     fn cores(&self, kind: Option<usize>) -> f64 {
