--- a/src/control.rs
+++ b/src/control.rs
@@ -73,9 +73,9 @@
 const EJECT_PART: f64 = 0.5;
 /// No new send for this long to an engine that was full.
 const FULL_PAUSE: Micros = 200_000;
-/// A request with less than this part of its class's longest patience repeats an earlier try; patience of first
-/// tries was seen to differ by 3 in 100.
-const RETRY_PATIENCE: f64 = 0.93;
+/// An unmarked request with less than this part of its class's longest patience repeats an earlier try; first
+/// tries differ too, and taking one for a repeat refuses it at sight.
+const RETRY_PATIENCE: f64 = 0.75;
 /// Pause after a refused call to discovery.
 const ASK_PAUSE: Micros = 500_000;
 
@@ -289,7 +289,7 @@
         let patience = a.valid_until.saturating_sub(self.now);
         class.patience = class.patience.max(patience);
         // A client's patience spans all its tries: one with little left began earlier, and its aim too.
-        let repeats = (patience as f64) < class.patience as f64 * RETRY_PATIENCE;
+        let repeats = a.retry || (patience as f64) < class.patience as f64 * RETRY_PATIENCE;
         let born = if repeats { a.valid_until.saturating_sub(spec.deadline).min(self.now) } else { self.now };
         let key = a.key.filter(|_| spec.in_turn);
         let request = Request {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -155,3 +155,12 @@
     threadless.threads = f64::NAN;
     assert!(Controller::new(settings(vec![threadless]), 1).is_err());
 }
+
+#[test]
+fn a_first_try_with_a_little_less_patience_is_not_taken_for_a_repeat() {
+    let mut swift = class(Effect::Pure);
+    (swift.late_worth, swift.deadline) = (0.0, 10 * S);
+    let mut c = controller(vec![swift]);
+    let out = step(&mut c, S, &[arrival(1, 0, 11 * S), arrival(2, 0, 10 * S)]);
+    assert!(answers(&out).is_empty(), "refused at sight: {out:?}");
+}
