Timed-out attempts keep their place; told load does not expire; repeats by mark where marked

The ghosts also cover engines that hang or crawl; they hurt when a timed-out attempt had in truth ended, by at most its own run time.

--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -233,6 +233,7 @@
         tenants: s.tenants.iter().map(|t| t.fraction).collect(),
         over_share_worth: s.over_share_worth,
         bills: s.extra.bills,
+        marks_retry: s.clients.marks_retry,
         discovery: match s.discovery.as_deref() {
             Some("subscribe") => core::Discovery::Subscribe,
             _ => core::Discovery::Push,
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -154,6 +154,7 @@
     pub limits: Limits,
     pub rules: Rules,
     pub extra: Extra,
+    pub clients: Clients,
 }
 
 impl Default for Settings {
@@ -170,6 +171,7 @@
             limits: Limits::default(),
             rules: Rules::default(),
             extra: Extra::default(),
+            clients: Clients::default(),
         }
     }
 }
@@ -250,6 +252,12 @@
     pub bills: bool,
 }
 
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Clients {
+    pub marks_retry: bool,
+}
+
 #[derive(Serialize)]
 pub struct Reply {
     pub batch: u64,
--- a/src/control.rs
+++ b/src/control.rs
@@ -72,9 +72,9 @@
 /// At most this part of the listed engines is ejected: what hits more than that is shared by all.
 const EJECT_PART: f64 = 0.5;
 /// No new send for this long to an engine that was full.
-const FULL_PAUSE: Micros = 200_000;
-/// An unmarked request with less than this part of its class's longest patience repeats an earlier try; first
-/// tries differ too, and taking one for a repeat refuses it at sight.
+const FULL_PAUSE: Micros = 1_000_000;
+/// Where clients mark no repeats, a request with less than this part of its class's longest patience is one.
+/// First tries differ too, and taking one for a repeat refuses it at sight.
 const RETRY_PATIENCE: f64 = 0.75;
 /// Pause after a refused call to discovery.
 const ASK_PAUSE: Micros = 500_000;
@@ -144,20 +144,21 @@
     hop: u32,
     class: usize,
     at: Micros,
-    guess: f64,
 }
 
 struct Engine {
     entry: Entry,
     out: Vec<Sent>,
+    /// Threads of attempts that timed out but may still run, and until when they count.
+    ghosts: Vec<(f64, Micros)>,
     /// Thread bound under pressure.
     bound: f64,
     /// Decayed sums of run time × threads and of work: their ratio is the stretch.
     ran: f64,
     worked: f64,
-    /// Answers of this period; threads of other gateways as last told, and when.
+    /// Answers of this period; threads of other gateways as last told.
     answers: u32,
-    told: Option<(f64, Micros)>,
+    told: Option<f64>,
     full_until: Micros,
     heard: Micros,
     failing: f64,
@@ -188,7 +189,6 @@
     /// Served within aim, and served at all, in this period.
     met: (f64, f64),
     next_ask: Option<Micros>,
-    asked: bool,
 }
 
 impl Controller {
@@ -216,7 +216,6 @@
             next_period: 0,
             met: (0.0, 0.0),
             next_ask: (cfg.discovery == Discovery::Subscribe).then_some(0),
-            asked: false,
             cfg,
         })
     }
@@ -253,13 +252,9 @@
 
     fn on_list(&mut self, scope: Scope, entries: &[Entry]) {
         if scope == Scope::Refused {
-            self.asked = false;
             self.next_ask = Some(self.now + ASK_PAUSE);
             return;
         }
-        if scope != Scope::Remembered {
-            self.asked = false;
-        }
         if scope != Scope::Changes {
             // Danger: an engine missing from a full list is gone; sending on breaks the drain rule.
             for e in self.engines.values_mut() {
@@ -289,7 +284,8 @@
         let patience = a.valid_until.saturating_sub(self.now);
         class.patience = class.patience.max(patience);
         // A client's patience spans all its tries: one with little left began earlier, and its aim too.
-        let repeats = a.retry || (patience as f64) < class.patience as f64 * RETRY_PATIENCE;
+        let short = (patience as f64) < class.patience as f64 * RETRY_PATIENCE;
+        let repeats = if self.cfg.marks_retry { a.retry } else { short };
         let born = if repeats { a.valid_until.saturating_sub(spec.deadline).min(self.now) } else { self.now };
         let key = a.key.filter(|_| spec.in_turn);
         let request = Request {
@@ -362,9 +358,9 @@
         let weight = (1.0 / c.seen).max(MEAN_WEIGHT);
         c.work += (work - c.work) * weight;
         c.run += (o.elapsed as f64 - c.run) * weight;
-        if sent.guess > 0.0 {
+        if let Some(guess) = self.requests.get(&o.request).and_then(|r| r.guess) {
             c.billed += work;
-            c.guessed += sent.guess;
+            c.guessed += guess;
         }
         if let Some(e) = self.engines.get_mut(&o.engine) {
             e.ran += ran;
@@ -452,11 +448,10 @@
     /// Threads that this gateway may run there now.
     fn places(&self, e: &Engine) -> f64 {
         let slice = self.slice(e.entry.kind);
-        if let Some((others, at)) = e.told
-            && self.now < at + PERIOD
-        {
+        if let Some(others) = e.told {
             // Danger: even parts leave a busy gateway short and, with many gateways, add up to too much. Where
-            // engines tell what they hold, this gateway's part is what the others leave, one query at least.
+            // engines tell what they hold, this one's part is what the others leave, at least one query: that
+            // one refreshes what was told, which in silence must not expire towards calm.
             let left = THREADS_PER_CORE * self.cores(e.entry.kind) - others;
             return left.clamp(slice / MIN_QUERIES, GROWTH_MAX * slice);
         }
@@ -501,9 +496,7 @@
     }
 
     fn head(&self, class: usize, late: bool) -> Option<RequestId> {
-        let queue = &self.classes[class].queue;
-        let edge = (late, 0, RequestId(0));
-        queue.range(edge..).next().filter(|r| r.0 == late).map(|r| r.2)
+        self.classes[class].queue.range((late, 0, RequestId(0))..).next().filter(|r| r.0 == late).map(|r| r.2)
     }
 
     /// Draws among the open classes; odds from x: P_{j+1} = x_j · P_j.
@@ -562,14 +555,7 @@
         if let Health::Ejected { trial, .. } = &mut e.health {
             *trial = Some(id);
         }
-        let sent = Sent {
-            request: id,
-            hop: r.attempts,
-            class: r.class,
-            at: self.now,
-            guess: r.guess.unwrap_or(0.0),
-        };
-        e.out.push(sent);
+        e.out.push(Sent { request: id, hop: r.attempts, class: r.class, at: self.now });
         e.recent.push_back((self.now, class.usual_work()));
         r.out.push((r.attempts, engine));
         r.tried.push(engine);
@@ -612,7 +598,8 @@
                 until <= self.now && trial.is_none() && c.effect == Effect::Pure
             }
         };
-        let threads: f64 = e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum();
+        let own: f64 = e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum();
+        let threads = own + e.ghosts.iter().map(|g| g.0).sum::<f64>();
         e.entry.readiness == Readiness::Up
             && within(&c.zones, e.entry.zone)
             && within(&c.kinds, e.entry.kind)
@@ -660,15 +647,13 @@
     fn judge(&mut self, sent: &Sent, o: &Outcome) {
         let (now, mix) = (self.now, self.mix());
         let Some(e) = self.engines.get_mut(&o.engine) else { return };
-        let trial = matches!(e.health, Health::Ejected { trial: Some(t), .. } if t == o.request);
-        if let Health::Ejected { trial: t, .. } = &mut e.health
-            && trial
-        {
-            *t = None;
-        }
+        let trial = match &mut e.health {
+            Health::Ejected { trial, .. } => trial.take_if(|t| *t == o.request).is_some(),
+            Health::Well => false,
+        };
         if let Some(told) = o.report.and_then(|r| r.in_flight).filter(|v| v.is_finite() && *v >= 0.0) {
             let others = (told - e.out.len() as f64 - 1.0).max(0.0) * mix;
-            e.told = Some((e.told.map_or(others, |(before, _)| (before + others) * 0.5), now));
+            e.told = Some(e.told.map_or(others, |before| (before + others) * 0.5));
         }
         let weight = match o.ending {
             Ending::Good => {
@@ -689,6 +674,11 @@
             }
             Ending::Bad | Ending::Reset => FAIL_WEIGHT,
             Ending::NoConnection => REFUSED_WEIGHT,
+            // Danger: a time-out stops nothing. Its place stays taken for as long again, or places multiply.
+            Ending::Late | Ending::Cancelled if !trial => {
+                e.ghosts.push((self.cfg.classes[sent.class].threads, now + o.elapsed));
+                return;
+            }
             // A deadline passed: no fault of the engine by itself; silence is judged apart.
             Ending::Late if trial && e.heard < sent.at => 1.0,
             Ending::Late | Ending::Cancelled | Ending::Moot => return,
@@ -749,6 +739,7 @@
         let fall = self.cfg.rules.fall;
         let mut silent = Vec::new();
         for (id, e) in &mut self.engines {
+            e.ghosts.retain(|g| g.1 > now);
             while e.recent.front().is_some_and(|s| s.0 + fall < now) {
                 e.recent.pop_front();
             }
@@ -760,8 +751,7 @@
         for id in silent {
             self.eject(id);
         }
-        if self.next_ask.is_some_and(|at| at <= now) && !self.asked {
-            self.asked = true;
+        if self.next_ask.is_some_and(|at| at <= now) {
             self.next_ask = None;
             out.push(Action::Subscribe);
         }
@@ -862,6 +852,7 @@
         Engine {
             entry: entry.clone(),
             out: Vec::new(),
+            ghosts: Vec::new(),
             bound,
             ran: 0.0,
             worked: 0.0,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -139,6 +139,8 @@
     pub over_share_worth: f64,
     /// Answers tell the work a query needed.
     pub bills: bool,
+    /// Clients mark their repetitions.
+    pub marks_retry: bool,
     /// How the engine list comes.
     pub discovery: Discovery,
     /// What is permitted.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! };
 //! let settings = Settings {
 //!     gateways: 1, tick: 5_000, classes: vec![lookup], cores: vec![8.0], tenants: vec![],
-//!     over_share_worth: 1.0, bills: false, discovery: Discovery::Push,
+//!     over_share_worth: 1.0, bills: false, marks_retry: false, discovery: Discovery::Push,
 //!     limits: Limits {
 //!         max_attempts: 3, second_copies: false, retry_after: true, max_retry_after: 1_000_000, priorities: false,
 //!     },
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -30,6 +30,7 @@
         tenants: vec![],
         over_share_worth: 1.0,
         bills: false,
+        marks_retry: false,
         discovery: Discovery::Push,
         limits: Limits {
             max_attempts: 3,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -151,3 +151,18 @@
     *last = (request, hop + 1);
     hop
 }
+
+#[test]
+fn a_timed_out_attempt_keeps_its_place() {
+    let mut c = Controller::new(settings(vec![class(Effect::Pure)]), 1).expect("usable settings");
+    let mut events = vec![list(Scope::All, &[1])];
+    events.extend((0..8).map(|id| arrival(id, 0, 6 * S)));
+    assert_eq!(sends(&step(&mut c, S, &events)).len(), 8);
+    let late = |id| match outcome(id, 0, 1, Ending::Late) {
+        Event::Outcome(o) => Event::Outcome(Outcome { elapsed: 5 * S, ..o }),
+        other => other,
+    };
+    let mut events: Vec<Event> = (0..8).map(late).collect();
+    events.extend((8..16).map(|id| arrival(id, 0, 11 * S)));
+    assert!(sends(&step(&mut c, 6 * S, &events)).is_empty(), "the engine still runs all eight");
+}
