Full memory counts as full cores where engines tell it

Cause: engines past their memory crawl with cores free; bounds by threads let them in. Also covers heavy classes drawn together; may hurt where memory is full yet nothing waits for it.

--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -172,6 +172,7 @@
             work: (o.stats > 0).then_some(work.saturating_mul(1000)),
             report: (!o.report.is_empty()).then(|| core::LoadReport {
                 in_flight: o.report.get("busy_reqs").and_then(serde_json::Value::as_f64),
+                memory: o.report.get("x0").and_then(serde_json::Value::as_f64),
             }),
         })
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -132,11 +132,8 @@
 #[derive(Clone, Copy, PartialEq)]
 enum Health {
     Well,
-    /// Outlier ejection until a time, then half-open: one trial at a time.
-    Ejected {
-        until: Micros,
-        trial: Option<RequestId>,
-    },
+    /// Outlier ejection until a time, then half-open: the one trial that is out.
+    Ejected(Micros, Option<RequestId>),
 }
 
 struct Sent {
@@ -449,9 +446,9 @@
     fn places(&self, e: &Engine) -> f64 {
         let slice = self.slice(e.entry.kind);
         if let Some(others) = e.told {
-            // Danger: even parts leave a busy gateway short and, with many gateways, add up to too much. Where
-            // engines tell what they hold, this one's part is what the others leave, at least one query: that
-            // one refreshes what was told, which in silence must not expire towards calm.
+            // Danger: even parts leave a busy gateway short and, with many gateways, add up to too much.
+            // Where engines tell what they hold, its part is what others leave, at least one query: that one
+            // refreshes what was told, which in silence must not expire towards calm.
             let left = THREADS_PER_CORE * self.cores(e.entry.kind) - others;
             return left.clamp(slice / MIN_QUERIES, GROWTH_MAX * slice);
         }
@@ -552,7 +549,7 @@
         if e.out.is_empty() {
             e.heard = self.now; // An idle engine owes no answer.
         }
-        if let Health::Ejected { trial, .. } = &mut e.health {
+        if let Health::Ejected(_, trial) = &mut e.health {
             *trial = Some(id);
         }
         e.out.push(Sent { request: id, hop: r.attempts, class: r.class, at: self.now });
@@ -594,9 +591,7 @@
         };
         let healthy = match e.health {
             Health::Well => true,
-            Health::Ejected { until, trial } => {
-                until <= self.now && trial.is_none() && c.effect == Effect::Pure
-            }
+            Health::Ejected(until, trial) => until <= self.now && trial.is_none() && c.effect == Effect::Pure,
         };
         let own: f64 = e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum();
         let threads = own + e.ghosts.iter().map(|g| g.0).sum::<f64>();
@@ -646,13 +641,18 @@
     /// Health of an engine from the end of an attempt.
     fn judge(&mut self, sent: &Sent, o: &Outcome) {
         let (now, mix) = (self.now, self.mix());
+        let kind = self.engines.get(&o.engine).and_then(|e| e.entry.kind);
+        let full = THREADS_PER_CORE * self.cores(kind);
         let Some(e) = self.engines.get_mut(&o.engine) else { return };
         let trial = match &mut e.health {
-            Health::Ejected { trial, .. } => trial.take_if(|t| *t == o.request).is_some(),
+            Health::Ejected(_, trial) => trial.take_if(|t| *t == o.request).is_some(),
             Health::Well => false,
         };
-        if let Some(told) = o.report.and_then(|r| r.in_flight).filter(|v| v.is_finite() && *v >= 0.0) {
-            let others = (told - e.out.len() as f64 - 1.0).max(0.0) * mix;
+        let (told, memory) = o.report.map_or((None, None), |r| (r.in_flight, r.memory));
+        if let Some(told) = told.filter(|v| v.is_finite() && *v >= 0.0) {
+            // Danger: past its memory an engine crawls with cores free; full memory counts as full cores.
+            let filled = memory.filter(|m| m.is_finite()).map_or(0.0, |m| m * full);
+            let others = ((told * mix).max(filled) - (e.out.len() as f64 + 1.0) * mix).max(0.0);
             e.told = Some(e.told.map_or(others, |before| (before + others) * 0.5));
         }
         let weight = match o.ending {
@@ -698,7 +698,7 @@
         {
             let time = (EJECT_FIRST << e.ejections.min(10)).min(EJECT_MAX);
             e.ejections += 1;
-            e.health = Health::Ejected { until: self.now + time, trial: None };
+            e.health = Health::Ejected(self.now + time, None);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -216,6 +216,8 @@
 pub struct LoadReport {
     /// Queries it holds, from all gateways.
     pub in_flight: Option<f64>,
+    /// Share of its memory that is granted.
+    pub memory: Option<f64>,
 }
 
 /// A request that has come in.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -71,9 +71,10 @@
     let mut c = Controller::new(settings(vec![class(Effect::Pure)]), 1).expect("usable settings");
     step(&mut c, S, &[list(Scope::All, &[1]), arrival(0, 0, 6 * S)]);
     let told = |in_flight| match outcome(0, 0, 1, Ending::Good) {
-        Event::Outcome(o) => {
-            Event::Outcome(Outcome { report: Some(LoadReport { in_flight: Some(in_flight) }), ..o })
-        }
+        Event::Outcome(o) => Event::Outcome(Outcome {
+            report: Some(LoadReport { in_flight: Some(in_flight), memory: None }),
+            ..o
+        }),
         other => other,
     };
     let mut events = vec![told(4.0)];
@@ -166,3 +167,18 @@
     events.extend((8..16).map(|id| arrival(id, 0, 11 * S)));
     assert!(sends(&step(&mut c, 6 * S, &events)).is_empty(), "the engine still runs all eight");
 }
+
+#[test]
+fn an_engine_short_of_memory_gets_the_least_part() {
+    let mut c = Controller::new(settings(vec![class(Effect::Pure)]), 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &[1]), arrival(0, 0, 6 * S)]);
+    let report = Some(LoadReport { in_flight: Some(1.0), memory: Some(1.5) });
+    let told = match outcome(0, 0, 1, Ending::Good) {
+        Event::Outcome(o) => Event::Outcome(Outcome { report, ..o }),
+        other => other,
+    };
+    let mut events = vec![told];
+    events.extend((1..50).map(|id| arrival(id, 0, 6 * S)));
+    // The least part is half the slice of 8 threads.
+    assert_eq!(sends(&step(&mut c, S + 100 * MS, &events)).len(), 4);
+}
