--- a/src/control.rs
+++ b/src/control.rs
@@ -249,7 +249,7 @@
 
     fn on_list(&mut self, scope: Scope, entries: &[Entry]) {
         if scope == Scope::Refused {
-            self.next_ask = Some(self.now + ASK_PAUSE);
+            self.next_ask = Some(self.now + ASK_PAUSE.min(self.cfg.rules.ask_within / 2));
             return;
         }
         if scope != Scope::Changes {
@@ -326,7 +326,7 @@
         if let (Some(key), Ending::Late | Ending::Reset | Ending::Cancelled) = (r.key, o.ending)
             && let Some(turn) = self.turns.get_mut(&key)
         {
-            turn.rest_until = turn.rest_until.max(self.now + self.cfg.rules.order_pause);
+            turn.rest_until = turn.rest_until.max(self.now.saturating_add(self.cfg.rules.order_pause));
         }
         if o.terminal || r.done {
             if o.ending == Ending::Good && !r.done {
@@ -652,7 +652,8 @@
         if let Some(told) = told.filter(|v| v.is_finite() && *v >= 0.0) {
             // Danger: past its memory an engine crawls with cores free; full memory counts as full cores.
             let filled = memory.filter(|m| m.is_finite()).map_or(0.0, |m| m * full);
-            let others = ((told * mix).max(filled) - (e.out.len() as f64 + 1.0) * mix).max(0.0);
+            let own: f64 = e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum();
+            let others = ((told - e.out.len() as f64 - 1.0) * mix).max(filled - own).max(0.0);
             e.told = Some(e.told.map_or(others, |before| (before + others) * 0.5));
         }
         let weight = match o.ending {
@@ -676,7 +677,7 @@
             Ending::NoConnection => REFUSED_WEIGHT,
             // Danger: a time-out stops nothing. Its place stays taken for as long again, or places multiply.
             Ending::Late | Ending::Cancelled if !trial => {
-                e.ghosts.push((self.cfg.classes[sent.class].threads, now + o.elapsed));
+                e.ghosts.push((self.cfg.classes[sent.class].threads, now.saturating_add(o.elapsed)));
                 return;
             }
             // A deadline passed: no fault of the engine by itself; silence is judged apart.
@@ -707,7 +708,7 @@
         let now = self.now;
         let span = self.cfg.rules.retry_budget.map_or(0, |b| b.look_back);
         for times in [&mut self.taken, &mut self.extras] {
-            while times.front().is_some_and(|t| *t + span < now) {
+            while times.front().is_some_and(|t| t.saturating_add(span) < now) {
                 times.pop_front();
             }
         }
@@ -740,7 +741,7 @@
         let mut silent = Vec::new();
         for (id, e) in &mut self.engines {
             e.ghosts.retain(|g| g.1 > now);
-            while e.recent.front().is_some_and(|s| s.0 + fall < now) {
+            while e.recent.front().is_some_and(|s| s.0.saturating_add(fall) < now) {
                 e.recent.pop_front();
             }
             let overdue = |s: &Sent| (now - s.at) as f64 > SILENT_TIMES * self.classes[s.class].run;
@@ -770,7 +771,7 @@
         let work = s.expected(r.guess);
         let slow = (s.run * c.threads / s.work).max(1.0);
         let slack = c.aim as f64 + (c.aim_stretch - slow) * work / c.threads - RUN_MARGIN * s.run;
-        let start_by = r.born + slack.max(c.aim as f64 * LEAST_WAIT) as Micros;
+        let start_by = r.born.saturating_add(slack.max(c.aim as f64 * LEAST_WAIT) as Micros);
         let late = start_by < self.now;
         let no_time = self.now + END_MARGIN >= r.valid_until;
         let unwanted = late && c.late_worth < LATE_KEEP;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -164,3 +164,47 @@
     let out = step(&mut c, S, &[arrival(1, 0, 11 * S), arrival(2, 0, 10 * S)]);
     assert!(answers(&out).is_empty(), "refused at sight: {out:?}");
 }
+
+#[test]
+fn odd_numbers_do_not_panic_or_poison() {
+    let mut c = controller(vec![class(Effect::Pure)]);
+    let mut odd = entry(1, 99);
+    odd.ready_at = Micros::MAX;
+    let huge = Event::Arrival(Arrival {
+        request: RequestId(1),
+        class: 0,
+        tenant: Some(7),
+        key: None,
+        valid_until: Micros::MAX,
+        guess: Some(Micros::MAX),
+        retry: false,
+    });
+    let fleet = Event::List(Scope::All, vec![entry(2, 99), odd]);
+    let out = step(
+        &mut c,
+        S,
+        &[fleet, huge, arrival(2, 50, 6 * S), arrival(3, 0, 0), Event::Dropped(RequestId(77))],
+    );
+    assert_eq!(sends(&out), [(1, 2)]);
+    assert_eq!(answers(&out), [(3, true)], "out of time already: answered at once");
+    let report = Some(LoadReport { in_flight: Some(f64::NAN), memory: Some(f64::INFINITY) });
+    let late = match outcome(1, 0, 2, Ending::Late) {
+        Event::Outcome(o) => Event::Outcome(Outcome { elapsed: Micros::MAX, report, ..o }),
+        other => other,
+    };
+    step(&mut c, 2 * S, &[late, outcome(9, 9, 9, Ending::Good), list(Scope::All, &[])]);
+    let out = step(&mut c, 3 * S, &[list(Scope::All, &[4]), arrival(4, 0, 9 * S)]);
+    assert!(sends(&out).contains(&(4, 4)));
+}
+
+#[test]
+fn a_refused_subscription_is_asked_for_again() {
+    let mut cfg = settings(vec![class(Effect::Pure)]);
+    cfg.discovery = Discovery::Subscribe;
+    let mut c = Controller::new(cfg, 1).expect("usable settings");
+    assert!(step(&mut c, S, &[]).contains(&Action::Subscribe));
+    step(&mut c, S + 20 * MS, &[Event::List(Scope::Refused, vec![])]);
+    let asks =
+        (0..100).filter(|t| step(&mut c, S + (2 + t) * 20 * MS, &[]).contains(&Action::Subscribe)).count();
+    assert_eq!(asks, 1);
+}
