--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -195,7 +195,6 @@
             core::Action::Fail(request) => wire::Action::EndFailed { i, handle: name(request) },
             core::Action::Timer(after) => wire::Action::NotifyMe { i, reference: 0, after: millis(after) },
             core::Action::Subscribe => wire::Action::StreamChanges { i, on: true },
-            core::Action::Log(body_text) => wire::Action::Remark { i, body_text },
         }
     }
 }
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -301,10 +301,6 @@
         i: u64,
         on: bool,
     },
-    Remark {
-        i: u64,
-        body_text: String,
-    },
     InternalError {
         i: u64,
         body_text: String,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -133,9 +133,9 @@
     pub classes: Vec<Class>,
     /// Cores of each machine kind; events name kinds by position.
     pub cores: Vec<f64>,
-    /// Share of the service of each tenant; events name tenants by position.
+    /// Share of the service of each tenant; events name tenants by position. Not used yet.
     pub tenants: Vec<f64>,
-    /// Worth of a request beyond its tenant's share, against one within it.
+    /// Worth of a request beyond its tenant's share, against one within it. Not used yet.
     pub over_share_worth: f64,
     /// Answers tell the work a query needed.
     pub bills: bool,
@@ -307,8 +307,6 @@
     Timer(Micros),
     /// Ask discovery to tell changes from now on.
     Subscribe,
-    /// A line for the operators.
-    Log(String),
 }
 
 /// Settings that the controller can't work with.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -182,3 +182,52 @@
     // The least part is half the slice of 8 threads.
     assert_eq!(sends(&step(&mut c, S + 100 * MS, &events)).len(), 4);
 }
+
+#[test]
+fn at_first_both_classes_are_drawn_alike() {
+    let mut first = [0, 0];
+    for seed in 0..400 {
+        let cfg = settings(vec![class(Effect::Pure), class(Effect::Pure)]);
+        let mut c = Controller::new(cfg, seed).expect("usable settings");
+        let mut events = vec![list(Scope::All, &[1])];
+        events.extend((0..40).map(|id| arrival(id, id as usize % 2, 6 * S)));
+        for (id, _) in sends(&step(&mut c, S, &events)) {
+            first[id as usize % 2] += 1;
+        }
+    }
+    assert_eq!(first[0] + first[1], 400 * 8);
+    assert!((1500..1700).contains(&first[0]), "x = 1: {first:?}");
+}
+
+#[test]
+fn a_bound_grows_while_aims_are_met_and_returns_as_latency_grows() {
+    let mut patient = class(Effect::Pure);
+    (patient.aim, patient.deadline) = (500 * S, 900 * S);
+    let mut c = Controller::new(settings(vec![patient]), 1).expect("usable settings");
+    let mut events = vec![list(Scope::All, &[1])];
+    events.extend((0..60).map(|id| arrival(id, 0, 900 * S)));
+    let (mut next, mut running) = (60, Vec::new());
+    let mut peaks = Vec::new();
+    for tick in 0..1_200u64 {
+        let (now, run) = (S + tick * 100 * MS, if tick < 600 { 100 * MS } else { S });
+        let out = sends(&step(&mut c, now, &events));
+        running.extend(out.iter().map(|(id, _)| (now + run, *id)));
+        peaks.push(running.len());
+        events.clear();
+        running.retain(|(end, id)| {
+            let ended = *end <= now + 100 * MS;
+            if ended {
+                if let Event::Outcome(o) = outcome(*id, 0, 1, Ending::Good) {
+                    events.push(Event::Outcome(Outcome { elapsed: run, ..o }));
+                }
+                events.push(arrival(next, 0, 900 * S));
+                next += 1;
+            }
+            !ended
+        });
+    }
+    let most = |span: std::ops::Range<usize>| peaks[span].iter().copied().max();
+    assert!(most(0..10) <= Some(12), "one slice and the calm room: {:?}", most(0..10));
+    assert_eq!(most(550..600), Some(24), "thrice the slice");
+    assert_eq!(most(1_150..1_200), Some(8), "back at the slice");
+}
