--- a/src/control.rs
+++ b/src/control.rs
@@ -39,6 +39,11 @@
 const RETURN_STRETCH: f64 = 2.5;
 /// Part of answers within aim above which bounds may grow.
 const AIMS_MET: f64 = 0.8;
+/// Where engines can't be bounded one by one: the most load that one answer shows, the weight of a new
+/// answer, and the part of the bound that is given back at twice the load.
+const LOAD_MAX: f64 = 2.5;
+const LOAD_WEIGHT: f64 = 0.2;
+const SHRINK: f64 = 0.2;
 /// Housekeeping interval: deadlines, late marks, silence.
 const WAKE: Micros = 20_000;
 /// Queued requests are ended this long before the client gives up, so that the answer is in time.
@@ -185,6 +190,11 @@
     next_period: Micros,
     /// Served within aim, and served at all, in this period.
     met: (f64, f64),
+    /// Own threads out, their bound where engines can't be bounded one by one, and what binds it: the
+    /// decayed load that answers showed, 1 being two threads a core.
+    busy: f64,
+    window: f64,
+    pressure: f64,
     next_ask: Option<Micros>,
 }
 
@@ -212,6 +222,9 @@
             next_wake: 0,
             next_period: 0,
             met: (0.0, 0.0),
+            busy: 0.0,
+            window: f64::INFINITY,
+            pressure: 0.5,
             next_ask: (cfg.discovery == Discovery::Subscribe).then_some(0),
             cfg,
         })
@@ -312,10 +325,12 @@
             Some(e.out.swap_remove(at))
         });
         let Some(sent) = sent else { return };
+        self.busy -= self.cfg.classes[sent.class].threads;
         if o.ending == Ending::Good {
             self.learn(&sent, o);
         }
         self.judge(&sent, o);
+        self.feel(&sent, o);
         let Some(r) = self.requests.get_mut(&o.request) else { return };
         r.out.retain(|(hop, _)| *hop != o.hop);
         let proof = matches!(o.ending, Ending::Full | Ending::NoConnection | Ending::Moot);
@@ -442,6 +457,44 @@
         self.met = (0.0, 0.0);
     }
 
+    /// Whether an even part of the largest engine is less than one query.
+    fn crowded(&self) -> bool {
+        let most = self.cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
+        let cores = self.cfg.cores.iter().copied().fold(1.0, f64::max);
+        THREADS_PER_CORE * cores < most * f64::from(self.cfg.gateways)
+    }
+
+    /// Danger: with many gateways the floors of their bounds add up to many times an engine's cores, so
+    /// nothing binds and full engines never recover. There the bound holds over all engines together: a
+    /// place more for each answer that shows room, a part less for each that shows too much.
+    fn feel(&mut self, sent: &Sent, o: &Outcome) {
+        if !self.crowded() {
+            return;
+        }
+        let kind = self.engines.get(&o.engine).and_then(|e| e.entry.kind);
+        let threads = self.cfg.classes[sent.class].threads;
+        let told = o.report.and_then(|r| r.in_flight).filter(|v| v.is_finite() && *v >= 0.0);
+        let memory = o.report.and_then(|r| r.memory).filter(|v| v.is_finite()).unwrap_or(0.0);
+        let stretch = match o.work {
+            Some(work) => o.elapsed as f64 * threads / (work as f64).max(1.0),
+            None => o.elapsed as f64 / self.classes[sent.class].base.min(self.classes[sent.class].run),
+        };
+        let load = match (o.ending, told) {
+            (Ending::Full, _) => LOAD_MAX,
+            (_, Some(n)) => (n * self.mix() / (THREADS_PER_CORE * self.cores(kind))).max(memory),
+            (Ending::Good, None) => stretch / THREADS_PER_CORE,
+            _ => return,
+        };
+        self.pressure += (load.min(LOAD_MAX) - self.pressure) * LOAD_WEIGHT;
+        if self.pressure > 1.0 {
+            let floor = self.cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
+            self.window = self.window.min(self.busy + threads);
+            self.window = (self.window * (1.0 - SHRINK * (self.pressure - 1.0))).max(floor);
+        } else if self.busy + 2.0 * threads > self.window {
+            self.window += threads;
+        }
+    }
+
     /// Threads that this gateway may run there now.
     fn places(&self, e: &Engine) -> f64 {
         let slice = self.slice(e.entry.kind);
@@ -552,6 +605,7 @@
         if let Health::Ejected(_, trial) = &mut e.health {
             *trial = Some(id);
         }
+        self.busy += self.cfg.classes[r.class].threads;
         e.out.push(Sent { request: id, hop: r.attempts, class: r.class, at: self.now });
         e.recent.push_back((self.now, class.usual_work()));
         r.out.push((r.attempts, engine));
@@ -602,6 +656,7 @@
             && healthy
             && self.now >= e.full_until
             && threads + c.threads <= self.places(e)
+            && (self.busy == 0.0 || self.busy + c.threads <= self.window)
             && !r.out.iter().any(|(_, busy)| *busy == eid)
             && self.cold_room(r.class, e)
     }
