--- a/src/control.rs
+++ b/src/control.rs
@@ -41,7 +41,7 @@
 const AIMS_MET: f64 = 0.8;
 /// Where engines can't be bounded one by one: the most load that one answer shows, the weight of a new
 /// answer, and the part of the bound that is given back at twice the load.
-const LOAD_MAX: f64 = 2.5;
+const LOAD_MAX: f64 = 1.6;
 const LOAD_WEIGHT: f64 = 0.2;
 const SHRINK: f64 = 0.2;
 /// Housekeeping interval: deadlines, late marks, silence.
@@ -92,6 +92,8 @@
 #[derive(Default)]
 struct ClassState {
     queue: BTreeSet<Rank>,
+    /// Threads of its attempts that are out.
+    busy: f64,
     /// Sum and count of waits in this period.
     waits: (f64, f64),
     /// Mean work of all threads, and mean run time, in µs; answers seen.
@@ -190,9 +192,8 @@
     next_period: Micros,
     /// Served within aim, and served at all, in this period.
     met: (f64, f64),
-    /// Own threads out, their bound where engines can't be bounded one by one, and what binds it: the
-    /// decayed load that answers showed, 1 being two threads a core.
-    busy: f64,
+    /// Bound of own threads where engines can't be bounded one by one, and what moves it: the decayed
+    /// load that answers showed, 1 being two threads a core.
     window: f64,
     pressure: f64,
     next_ask: Option<Micros>,
@@ -222,7 +223,6 @@
             next_wake: 0,
             next_period: 0,
             met: (0.0, 0.0),
-            busy: 0.0,
             window: f64::INFINITY,
             pressure: 0.5,
             next_ask: (cfg.discovery == Discovery::Subscribe).then_some(0),
@@ -325,7 +325,7 @@
             Some(e.out.swap_remove(at))
         });
         let Some(sent) = sent else { return };
-        self.busy -= self.cfg.classes[sent.class].threads;
+        self.classes[sent.class].busy -= self.cfg.classes[sent.class].threads;
         if o.ending == Ending::Good {
             self.learn(&sent, o);
         }
@@ -482,19 +482,31 @@
         let load = match (o.ending, told) {
             (Ending::Full, _) => LOAD_MAX,
             (_, Some(n)) => (n * self.mix() / (THREADS_PER_CORE * self.cores(kind))).max(memory),
-            (Ending::Good, None) => stretch / THREADS_PER_CORE,
+            (Ending::Good, None) => stretch / RETURN_STRETCH,
             _ => return,
         };
         self.pressure += (load.min(LOAD_MAX) - self.pressure) * LOAD_WEIGHT;
         if self.pressure > 1.0 {
             let floor = self.cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
-            self.window = self.window.min(self.busy + threads);
+            let busy = self.classes.iter().map(|c| c.busy).sum::<f64>();
+            self.window = self.window.min(busy + threads);
             self.window = (self.window * (1.0 - SHRINK * (self.pressure - 1.0))).max(floor);
-        } else if self.busy + 2.0 * threads > self.window {
+        } else if self.ahead(sent.class) + 2.0 * threads > self.window {
             self.window += threads;
         }
     }
 
+    /// Worth of a usual query for its work.
+    fn gain(&self, class: usize) -> f64 {
+        self.cfg.classes[class].worth / self.classes[class].work.max(1.0)
+    }
+
+    /// Own threads out of classes that give at least as much for a place.
+    fn ahead(&self, class: usize) -> f64 {
+        let least = self.gain(class);
+        (0..self.classes.len()).filter(|c| self.gain(*c) >= least).map(|c| self.classes[c].busy).sum()
+    }
+
     /// Threads that this gateway may run there now.
     fn places(&self, e: &Engine) -> f64 {
         let slice = self.slice(e.entry.kind);
@@ -605,7 +617,7 @@
         if let Health::Ejected(_, trial) = &mut e.health {
             *trial = Some(id);
         }
-        self.busy += self.cfg.classes[r.class].threads;
+        class.busy += self.cfg.classes[r.class].threads;
         e.out.push(Sent { request: id, hop: r.attempts, class: r.class, at: self.now });
         e.recent.push_back((self.now, class.usual_work()));
         r.out.push((r.attempts, engine));
@@ -619,10 +631,9 @@
 
     /// The class with the most worth for its work runs ahead inside engines too; late work runs behind.
     fn priority(&self, r: &Request) -> u8 {
-        let gain = |c: usize| self.cfg.classes[c].worth / self.classes[c].work;
         if r.rank.is_some_and(|rank| rank.0) {
             0
-        } else if (0..self.classes.len()).all(|c| gain(c) <= gain(r.class)) {
+        } else if (0..self.classes.len()).all(|c| self.gain(c) <= self.gain(r.class)) {
             3
         } else {
             1
@@ -656,7 +667,7 @@
             && healthy
             && self.now >= e.full_until
             && threads + c.threads <= self.places(e)
-            && (self.busy == 0.0 || self.busy + c.threads <= self.window)
+            && (!self.crowded() || self.ahead(r.class) == 0.0 || self.ahead(r.class) + c.threads <= self.window)
             && !r.out.iter().any(|(_, busy)| *busy == eid)
             && self.cold_room(r.class, e)
     }
