--- a/src/control.rs
+++ b/src/control.rs
@@ -44,6 +44,8 @@
 const LOAD_MAX: f64 = 1.6;
 const LOAD_WEIGHT: f64 = 0.2;
 const SHRINK: f64 = 0.2;
+/// Time in which what an engine showed of its load fades.
+const FADE: Micros = 4_000_000;
 /// Housekeeping interval: deadlines, late marks, silence.
 const WAKE: Micros = 20_000;
 /// Queued requests are ended this long before the client gives up, so that the answer is in time.
@@ -71,6 +73,8 @@
 const SILENT_TIMES: f64 = 4.0;
 /// ... and nothing at all has come back for this long.
 const SILENT_FOR: Micros = 1_000_000;
+/// A timer that comes this late tells that this gateway itself stood still.
+const OWN_PAUSE: Micros = 10 * WAKE;
 /// First time of ejection; doubled at each in a row up to the maximum.
 const EJECT_FIRST: Micros = 1_000_000;
 const EJECT_MAX: Micros = 8_000_000;
@@ -163,6 +167,8 @@
     /// Answers of this period; threads of other gateways as last told.
     answers: u32,
     told: Option<f64>,
+    /// Load as last shown, and when.
+    load: (f64, Micros),
     full_until: Micros,
     heard: Micros,
     failing: f64,
@@ -235,6 +241,7 @@
     /// Takes one batch: events first, then one dispatch pass.
     pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.forgive_own_pause();
         for event in events {
             match event {
                 Event::List(scope, entries) => self.on_list(*scope, entries),
@@ -260,6 +267,17 @@
         self.dispatch(out);
     }
 
+    /// Danger: a gateway that stood still finds every engine silent on waking. The time by which its own
+    /// timer is late is its own pause and counts against no engine.
+    fn forgive_own_pause(&mut self) {
+        let late = self.now.saturating_sub(self.next_wake);
+        if self.next_wake > 0 && late > OWN_PAUSE {
+            for e in self.engines.values_mut() {
+                e.heard = self.now.min(e.heard + late);
+            }
+        }
+    }
+
     fn on_list(&mut self, scope: Scope, entries: &[Entry]) {
         if scope == Scope::Refused {
             self.next_ask = Some(self.now + ASK_PAUSE.min(self.cfg.rules.ask_within / 2));
@@ -485,6 +503,9 @@
             (Ending::Good, None) => stretch / RETURN_STRETCH,
             _ => return,
         };
+        if let Some(e) = self.engines.get_mut(&o.engine) {
+            e.load = (load, self.now);
+        }
         self.pressure += (load.min(LOAD_MAX) - self.pressure) * LOAD_WEIGHT;
         if self.pressure > 1.0 {
             let floor = self.cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
@@ -581,12 +602,12 @@
     /// The engine with a free place and the fewest own queries; untried ones first; ties by the seed.
     fn choose(&mut self, id: RequestId) -> Option<EngineId> {
         let r = &self.requests[&id];
-        let mut best: Option<((bool, usize), Vec<EngineId>)> = None;
+        let mut best: Option<((bool, usize, u64), Vec<EngineId>)> = None;
         for (eid, e) in &self.engines {
             if !self.eligible(r, *eid, e) {
                 continue;
             }
-            let cost = (r.tried.contains(eid), e.out.len());
+            let cost = (r.tried.contains(eid), e.out.len(), self.seems(e));
             match &mut best {
                 Some((least, _)) if *least < cost => {}
                 Some((least, ties)) if *least == cost => ties.push(*eid),
@@ -597,6 +618,18 @@
         Some(ties[(self.rng.next_u64() % ties.len() as u64) as usize])
     }
 
+    /// Where own counts are mostly none, ties go to what an engine last told or showed: its load, fading
+    /// towards that of all as it ages, and its failures, which make an engine look idle. In steps
+    /// of an eighth, so that noise does not herd gateways to one engine.
+    fn seems(&self, e: &Engine) -> u64 {
+        if !self.crowded() {
+            return 0;
+        }
+        let age = self.now.saturating_sub(e.load.1) as f64 / FADE as f64;
+        let load = self.pressure + (e.load.0 - self.pressure) * (-age).exp();
+        ((load + e.failing * LOAD_MAX).max(0.0) * 8.0) as u64
+    }
+
     /// The one sender.
     fn send(&mut self, id: RequestId, engine: EngineId, out: &mut Vec<Action>) {
         let priority = self.priority(&self.requests[&id]);
@@ -925,6 +958,7 @@
             worked: 0.0,
             answers: 0,
             told: None,
+            load: (0.0, 0),
             full_until: 0,
             heard: now,
             failing: 0.0,
