--- a/src/control.rs
+++ b/src/control.rs
@@ -45,7 +45,9 @@
 const LOAD_WEIGHT: f64 = 0.2;
 const SHRINK: f64 = 0.2;
 /// Time in which what an engine showed of its load fades.
+/// Danger: an engine past its memory crawls; a query from each of many gateways that forgot keeps it there.
 const FADE: Micros = 4_000_000;
+const JAM_FADE: Micros = 30_000_000;
 /// Housekeeping interval: deadlines, late marks, silence.
 const WAKE: Micros = 20_000;
 /// Queued requests are ended this long before the client gives up, so that the answer is in time.
@@ -501,11 +503,14 @@
             (Ending::Full, _) => LOAD_MAX,
             (_, Some(n)) => (n * self.mix() / (THREADS_PER_CORE * self.cores(kind))).max(memory),
             (Ending::Good, None) => stretch / RETURN_STRETCH,
-            _ => return,
+            _ => LOAD_MAX,
         };
         if let Some(e) = self.engines.get_mut(&o.engine) {
             e.load = (load, self.now);
         }
+        if o.ending != Ending::Good && o.ending != Ending::Full {
+            return; // Tells of that engine alone.
+        }
         self.pressure += (load.min(LOAD_MAX) - self.pressure) * LOAD_WEIGHT;
         if self.pressure > 1.0 {
             let floor = self.cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
@@ -625,7 +630,8 @@
         if !self.crowded() {
             return 0;
         }
-        let age = self.now.saturating_sub(e.load.1) as f64 / FADE as f64;
+        let fade = if e.load.0 > self.pressure { JAM_FADE } else { FADE };
+        let age = self.now.saturating_sub(e.load.1) as f64 / fade as f64;
         let load = self.pressure + (e.load.0 - self.pressure) * (-age).exp();
         ((load + e.failing * LOAD_MAX).max(0.0) * 8.0) as u64
     }
