--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -72,6 +72,13 @@
                     let events = pending.entry(o.i).or_default();
                     events.extend(instance.outcome(&o).map(core::Event::Outcome));
                 }
+                wire::Event::Health(h) => {
+                    if self.instances.contains_key(&h.i) {
+                        let told = report(&h.report).filter(|_| h.ending == wire::Ending::Good);
+                        let event = core::Event::Probed(core::EngineId(h.engine), told);
+                        pending.entry(h.i).or_default().push(event);
+                    }
+                }
                 wire::Event::Dropped(d) => {
                     let Some(instance) = self.instances.get(&d.i) else { continue };
                     let events = pending.entry(d.i).or_default();
@@ -80,7 +87,6 @@
                 wire::Event::Wakeup(o)
                 | wire::Event::Started(o)
                 | wire::Event::Notice(o)
-                | wire::Event::Health(o)
                 | wire::Event::Memo(o) => {
                     pending.entry(o.i).or_default().push(core::Event::Wakeup);
                 }
@@ -170,10 +176,7 @@
             elapsed: micros(o.elapsed),
             terminal: o.terminal,
             work: (o.stats > 0).then_some(work.saturating_mul(1000)),
-            report: (!o.report.is_empty()).then(|| core::LoadReport {
-                in_flight: o.report.get("busy_reqs").and_then(serde_json::Value::as_f64),
-                memory: o.report.get("x0").and_then(serde_json::Value::as_f64),
-            }),
+            report: report(&o.report),
         })
     }
 
@@ -193,6 +196,7 @@
                 wire::Action::Busy { i, handle: name(request), hold_off: hold_off.map(millis) }
             }
             core::Action::Fail(request) => wire::Action::EndFailed { i, handle: name(request) },
+            core::Action::Probe(engine) => wire::Action::AskLoad { i, engine: engine.0 },
             core::Action::Timer(after) => wire::Action::NotifyMe { i, reference: 0, after: millis(after) },
             core::Action::Subscribe => wire::Action::StreamChanges { i, on: true },
         }
@@ -227,6 +231,7 @@
     let r = &s.rules;
     core::Settings {
         gateways: s.balancers,
+        index: s.index,
         tick: micros(s.tick),
         classes: classes.collect(),
         cores: s.extra.cpu_of_kind.clone(),
@@ -244,6 +249,7 @@
             retry_after: s.limits.retry_after,
             max_retry_after: micros(s.limits.max_retry_after),
             priorities: s.extra.ranks_heeded,
+            probes: s.limits.may_probe,
         },
         rules: core::Rules {
             start_capacity: r.start_capacity,
@@ -263,6 +269,16 @@
     }
 }
 
+fn report(values: &BTreeMap<String, serde_json::Value>) -> Option<core::LoadReport> {
+    let value = |name| values.get(name).and_then(serde_json::Value::as_f64);
+    let report = core::LoadReport {
+        in_flight: value("busy_reqs"),
+        memory: value("x0"),
+        cpu: value("cpu_share"),
+    };
+    (!values.is_empty()).then_some(report)
+}
+
 fn scope(s: wire::Scope) -> core::Scope {
     match s {
         wire::Scope::Changes => core::Scope::Changes,
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -25,7 +25,7 @@
     Outcome(Outcome),
     Dropped(Dropped),
     Wakeup(Only),
-    Health(Only),
+    Health(Health),
     Memo(Only),
 }
 
@@ -121,7 +121,7 @@
     pub report: BTreeMap<String, serde_json::Value>,
 }
 
-#[derive(Deserialize, Clone, Copy)]
+#[derive(Deserialize, Clone, Copy, PartialEq)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum Ending {
     Good,
@@ -134,6 +134,15 @@
     Nop,
 }
 
+#[derive(Deserialize)]
+pub struct Health {
+    pub i: u64,
+    pub engine: u32,
+    pub ending: Ending,
+    #[serde(default)]
+    pub report: BTreeMap<String, serde_json::Value>,
+}
+
 #[derive(Deserialize)]
 pub struct Dropped {
     pub i: u64,
@@ -144,6 +153,7 @@
 #[serde(rename_all = "camelCase", default)]
 pub struct Settings {
     pub balancers: u32,
+    pub index: u32,
     pub tick: f64,
     pub lanes: Vec<Lane>,
     pub kinds: Vec<String>,
@@ -161,6 +171,7 @@
     fn default() -> Self {
         Settings {
             balancers: 1,
+            index: 0,
             tick: 1.0,
             lanes: Vec::new(),
             kinds: Vec::new(),
@@ -227,6 +238,7 @@
     pub second_copies: bool,
     pub retry_after: bool,
     pub max_retry_after: f64,
+    pub may_probe: bool,
 }
 
 #[derive(Deserialize, Default)]
@@ -291,6 +303,10 @@
         i: u64,
         handle: String,
     },
+    AskLoad {
+        i: u64,
+        engine: u32,
+    },
     NotifyMe {
         i: u64,
         #[serde(rename = "ref")]
--- a/src/control.rs
+++ b/src/control.rs
@@ -202,6 +202,7 @@
     met: (f64, f64),
     /// Bound of own threads where engines can't be bounded one by one, and what moves it: the decayed
     /// load that answers showed, 1 being two threads a core.
+    crowded: bool,
     window: f64,
     pressure: f64,
     next_ask: Option<Micros>,
@@ -215,6 +216,8 @@
             let run = (c.deadline as f64 * PRIOR_WORK).max(1.0);
             ClassState { work: run * c.threads, run, base: f64::INFINITY, ..ClassState::default() }
         });
+        let cores = cfg.cores.iter().copied().fold(1.0, f64::max);
+        let most = cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
         let pairs = cfg.classes.len() - 1;
         Ok(Controller {
             classes: classes.collect(),
@@ -231,6 +234,7 @@
             next_wake: 0,
             next_period: 0,
             met: (0.0, 0.0),
+            crowded: THREADS_PER_CORE * cores < most * f64::from(cfg.gateways),
             window: f64::INFINITY,
             pressure: 0.5,
             next_ask: (cfg.discovery == Discovery::Subscribe).then_some(0),
@@ -249,6 +253,7 @@
                 Event::List(scope, entries) => self.on_list(*scope, entries),
                 Event::Arrival(a) => self.on_arrival(a, out),
                 Event::Outcome(o) => self.on_outcome(o, out),
+                Event::Probed(id, report) => self.on_probe(*id, *report),
                 Event::Dropped(id) => self.end(*id, None, out),
                 Event::Wakeup => {}
             }
@@ -477,31 +482,38 @@
         self.met = (0.0, 0.0);
     }
 
-    /// Whether an even part of the largest engine is less than one query.
-    fn crowded(&self) -> bool {
-        let most = self.cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
-        let cores = self.cfg.cores.iter().copied().fold(1.0, f64::max);
-        THREADS_PER_CORE * cores < most * f64::from(self.cfg.gateways)
-    }
-
     /// Danger: with many gateways the floors of their bounds add up to many times an engine's cores, so
     /// nothing binds and full engines never recover. There the bound holds over all engines together: a
     /// place more for each answer that shows room, a part less for each that shows too much.
+    fn on_probe(&mut self, id: EngineId, report: Option<LoadReport>) {
+        let load = self.told_load(id, report.as_ref());
+        if let (Some(load), Some(e)) = (load, self.engines.get_mut(&id)) {
+            e.load = (load, self.now);
+        }
+    }
+
+    /// Load of an engine by its report: threads or memory, or else busy cores, which tell of a half at most.
+    fn told_load(&self, id: EngineId, report: Option<&LoadReport>) -> Option<f64> {
+        let sane = |v: Option<f64>| v.filter(|v| v.is_finite() && *v >= 0.0);
+        let (e, report) = (self.engines.get(&id)?, report?);
+        let full = THREADS_PER_CORE * self.cores(e.entry.kind);
+        let threads = sane(report.in_flight).map(|n| (n * self.mix() / full).max(sane(report.memory).unwrap_or(0.0)));
+        threads.or(sane(report.cpu).filter(|cpu| *cpu < 0.9).map(|cpu| cpu / THREADS_PER_CORE))
+    }
+
     fn feel(&mut self, sent: &Sent, o: &Outcome) {
-        if !self.crowded() {
+        if !self.crowded {
             return;
         }
-        let kind = self.engines.get(&o.engine).and_then(|e| e.entry.kind);
         let threads = self.cfg.classes[sent.class].threads;
-        let told = o.report.and_then(|r| r.in_flight).filter(|v| v.is_finite() && *v >= 0.0);
-        let memory = o.report.and_then(|r| r.memory).filter(|v| v.is_finite()).unwrap_or(0.0);
+        let told = self.told_load(o.engine, o.report.as_ref());
         let stretch = match o.work {
             Some(work) => o.elapsed as f64 * threads / (work as f64).max(1.0),
             None => o.elapsed as f64 / self.classes[sent.class].base.min(self.classes[sent.class].run),
         };
         let load = match (o.ending, told) {
             (Ending::Full, _) => LOAD_MAX,
-            (_, Some(n)) => (n * self.mix() / (THREADS_PER_CORE * self.cores(kind))).max(memory),
+            (_, Some(told)) => told,
             (Ending::Good, None) => stretch / RETURN_STRETCH,
             _ => LOAD_MAX,
         };
@@ -627,7 +639,7 @@
     /// towards that of all as it ages, and its failures, which make an engine look idle. In steps
     /// of an eighth, so that noise does not herd gateways to one engine.
     fn seems(&self, e: &Engine) -> u64 {
-        if !self.crowded() {
+        if !self.crowded {
             return 0;
         }
         let fade = if e.load.0 > self.pressure { JAM_FADE } else { FADE };
@@ -653,6 +665,13 @@
         if e.out.is_empty() {
             e.heard = self.now; // An idle engine owes no answer.
         }
+        let others = self.engines.iter().filter(|(id, e)| **id != engine && e.entry.readiness == Readiness::Up);
+        let others: Vec<EngineId> = others.map(|(id, _)| *id).collect();
+        if self.crowded && self.cfg.limits.probes && !others.is_empty() {
+            out.push(Action::Probe(others[(self.rng.next_u64() % others.len() as u64) as usize]));
+        }
+        let (Some(r), Some(e)) = (self.requests.get_mut(&id), self.engines.get_mut(&engine)) else { return };
+        let class = &mut self.classes[r.class];
         if let Health::Ejected(_, trial) = &mut e.health {
             *trial = Some(id);
         }
@@ -706,7 +725,7 @@
             && healthy
             && self.now >= e.full_until
             && threads + c.threads <= self.places(e)
-            && (!self.crowded() || self.ahead(r.class) == 0.0 || self.ahead(r.class) + c.threads <= self.window)
+            && (!self.crowded || self.ahead(r.class) == 0.0 || self.ahead(r.class) + c.threads <= self.window)
             && !r.out.iter().any(|(_, busy)| *busy == eid)
             && self.cold_room(r.class, e)
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -90,6 +90,8 @@
     pub max_retry_after: Micros,
     /// Priorities are heeded.
     pub priorities: bool,
+    /// Engines may be probed.
+    pub probes: bool,
 }
 
 /// How many further attempts one router may make.
@@ -127,6 +129,8 @@
 pub struct Settings {
     /// Gateways that share the engines, this one included.
     pub gateways: u32,
+    /// This one's number among them, from 0.
+    pub index: u32,
     /// Shortest time between two batches.
     pub tick: Micros,
     /// The classes; events name them by position.
@@ -218,6 +222,8 @@
     pub in_flight: Option<f64>,
     /// Share of its memory that is granted.
     pub memory: Option<f64>,
+    /// Share of its cores that is busy.
+    pub cpu: Option<f64>,
 }
 
 /// A request that has come in.
@@ -269,6 +275,8 @@
     Arrival(Arrival),
     /// An attempt has ended.
     Outcome(Outcome),
+    /// A probe has ended; the report only where it succeeded.
+    Probed(EngineId, Option<LoadReport>),
     /// The client has gone; no answer is owed.
     Dropped(RequestId),
     /// A timer is due.
@@ -303,6 +311,8 @@
     },
     /// Final answer: failed, nothing promised.
     Fail(RequestId),
+    /// Probe an engine for [`Event::Probed`].
+    Probe(EngineId),
     /// Ask for [`Event::Wakeup`] after this time.
     Timer(Micros),
     /// Ask discovery to tell changes from now on.
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -24,6 +24,7 @@
 pub fn settings(classes: Vec<Class>) -> Settings {
     Settings {
         gateways: 1,
+        index: 0,
         tick: 5 * MS,
         classes,
         cores: vec![4.0, 4.0],
@@ -38,6 +39,7 @@
             retry_after: true,
             max_retry_after: S,
             priorities: false,
+            probes: false,
         },
         rules: Rules {
             start_capacity: 0.3,
