--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -153,6 +153,7 @@
             key,
             valid_until: micros(w.valid_until),
             guess: w.guess.map(micros),
+            group: w.source_set,
             retry: w.retry,
         })
     }
@@ -227,6 +228,7 @@
         zones: l.zones_open.as_ref().map(|only| indices(&s.zones, only)),
         kinds: l.kinds_allowed.as_ref().map(|only| indices(&s.kinds, only)),
         threads: s.extra.parallelism.get(at).copied().unwrap_or(1.0),
+        holds: s.extra.loads.get(at).copied().unwrap_or(false),
     });
     let r = &s.rules;
     core::Settings {
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -99,6 +99,7 @@
     pub table: Option<String>,
     pub valid_until: f64,
     pub guess: Option<f64>,
+    pub source_set: Option<u64>,
     #[serde(default)]
     pub retry: bool,
 }
@@ -259,6 +260,7 @@
 #[serde(rename_all = "camelCase", default)]
 pub struct Extra {
     pub parallelism: Vec<f64>,
+    pub loads: Vec<bool>,
     pub cpu_of_kind: Vec<f64>,
     pub ranks_heeded: bool,
     pub bills: bool,
--- a/src/control.rs
+++ b/src/control.rs
@@ -48,6 +48,9 @@
 /// Danger: an engine past its memory crawls; a query from each of many gateways that forgot keeps it there.
 const FADE: Micros = 4_000_000;
 const JAM_FADE: Micros = 30_000_000;
+/// One engine in so many is a home of a group, and the load that being there makes up for.
+const HOME_PART: usize = 4;
+const HOME_GAIN: f64 = 0.25;
 /// Housekeeping interval: deadlines, late marks, silence.
 const WAKE: Micros = 20_000;
 /// Queued requests are ended this long before the client gives up, so that the answer is in time.
@@ -122,6 +125,7 @@
     key: Option<KeyId>,
     valid_until: Micros,
     guess: Option<f64>,
+    group: Option<u64>,
     /// When its first try began, as far as can be told.
     born: Micros,
     came: Micros,
@@ -203,6 +207,8 @@
     /// Bound of own threads where engines can't be bounded one by one, and what moves it: the decayed
     /// load that answers showed, 1 being two threads a core.
     crowded: bool,
+    /// Some class holds its group.
+    loads: bool,
     window: f64,
     pressure: f64,
     next_ask: Option<Micros>,
@@ -234,6 +240,7 @@
             next_wake: 0,
             next_period: 0,
             met: (0.0, 0.0),
+            loads: cfg.classes.iter().any(|c| c.holds),
             crowded: THREADS_PER_CORE * cores < most * f64::from(cfg.gateways),
             window: f64::INFINITY,
             pressure: 0.5,
@@ -328,6 +335,7 @@
             key,
             valid_until: a.valid_until,
             guess: a.guess.map(|g| g as f64).filter(|g| *g > 0.0),
+            group: a.group,
             born,
             came: self.now,
             ..Request::default()
@@ -619,12 +627,14 @@
     /// The engine with a free place and the fewest own queries; untried ones first; ties by the seed.
     fn choose(&mut self, id: RequestId) -> Option<EngineId> {
         let r = &self.requests[&id];
+        let homes = self.homes(r);
         let mut best: Option<((bool, usize, u64), Vec<EngineId>)> = None;
         for (eid, e) in &self.engines {
             if !self.eligible(r, *eid, e) {
                 continue;
             }
-            let cost = (r.tried.contains(eid), e.out.len(), self.seems(e));
+            let away = !homes.is_empty() && homes.contains(eid) == self.cfg.classes[r.class].holds;
+            let cost = (r.tried.contains(eid), e.out.len(), self.seems(e, away));
             match &mut best {
                 Some((least, _)) if *least < cost => {}
                 Some((least, ties)) if *least == cost => ties.push(*eid),
@@ -638,14 +648,25 @@
     /// Where own counts are mostly none, ties go to what an engine last told or showed: its load, fading
     /// towards that of all as it ages, and its failures, which make an engine look idle. In steps
     /// of an eighth, so that noise does not herd gateways to one engine.
-    fn seems(&self, e: &Engine) -> u64 {
+    fn seems(&self, e: &Engine, away: bool) -> u64 {
         if !self.crowded {
             return 0;
         }
         let fade = if e.load.0 > self.pressure { JAM_FADE } else { FADE };
         let age = self.now.saturating_sub(e.load.1) as f64 / fade as f64;
         let load = self.pressure + (e.load.0 - self.pressure) * (-age).exp();
-        ((load + e.failing * LOAD_MAX).max(0.0) * 8.0) as u64
+        ((load + e.failing * LOAD_MAX + if away { HOME_GAIN } else { 0.0 }).max(0.0) * 8.0) as u64
+    }
+
+    /// The few engines where queries of a group gather, so that it stays warm there and loads, which hold
+    /// it, keep away: those it hashes to highest (rendezvous), alike at all gateways.
+    fn homes(&self, r: &Request) -> Vec<EngineId> {
+        let Some(group) = r.group.filter(|_| self.crowded && self.loads) else { return Vec::new() };
+        let up = self.engines.iter().filter(|(_, e)| e.entry.readiness == Readiness::Up);
+        let mut ranked: Vec<(u64, EngineId)> = up.map(|(id, _)| (mixed(group, u64::from(id.0)), *id)).collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        let homes = ranked.len().div_ceil(HOME_PART);
+        ranked.into_iter().take(homes).map(|(_, id)| id).collect()
     }
 
     /// The one sender.
@@ -956,6 +977,14 @@
     }
 }
 
+/// A hash of two numbers (the finalizer of splitmix64).
+fn mixed(a: u64, b: u64) -> u64 {
+    let mut z = a.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(b);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
 impl ClassState {
     /// Usual work of the class for the cold budget.
     fn usual_work(&self) -> f64 {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -66,6 +66,8 @@
     pub kinds: Option<Vec<usize>>,
     /// Threads that a query runs on.
     pub threads: f64,
+    /// A load: holds its group of tables on its engine while it runs.
+    pub holds: bool,
 }
 
 /// How discovery tells of changes.
@@ -241,6 +243,8 @@
     pub valid_until: Micros,
     /// Estimated work of all threads.
     pub guess: Option<Micros>,
+    /// The group of tables that it reads or writes, where told.
+    pub group: Option<u64>,
     /// The client marks it as a repetition.
     pub retry: bool,
 }
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -18,6 +18,7 @@
         zones: None,
         kinds: None,
         threads: 1.0,
+        holds: false,
     }
 }
 
@@ -76,6 +77,7 @@
         key: None,
         valid_until,
         guess: None,
+        group: None,
         retry: false,
     })
 }
