--- a/src/control.rs
+++ b/src/control.rs
@@ -47,7 +47,9 @@
 /// Time in which what an engine showed of its load fades.
 /// Danger: an engine past its memory crawls; a query from each of many gateways that forgot keeps it there.
 const FADE: Micros = 4_000_000;
-const JAM_FADE: Micros = 30_000_000;
+const JAM_FADE: Micros = 10_000_000;
+/// No send to an engine that shows so much more load than all do, and than two threads a core.
+const JAM_ROOM: f64 = 0.1;
 /// One engine in so many is a home of a group, and the load that being there makes up for.
 const HOME_PART: usize = 4;
 const HOME_GAIN: f64 = 0.25;
@@ -652,10 +654,14 @@
         if !self.crowded {
             return 0;
         }
+        let load = self.shown(e);
+        ((load + e.failing * LOAD_MAX + if away { HOME_GAIN } else { 0.0 }).max(0.0) * 8.0) as u64
+    }
+
+    fn shown(&self, e: &Engine) -> f64 {
         let fade = if e.load.0 > self.pressure { JAM_FADE } else { FADE };
         let age = self.now.saturating_sub(e.load.1) as f64 / fade as f64;
-        let load = self.pressure + (e.load.0 - self.pressure) * (-age).exp();
-        ((load + e.failing * LOAD_MAX + if away { HOME_GAIN } else { 0.0 }).max(0.0) * 8.0) as u64
+        self.pressure + (e.load.0 - self.pressure) * (-age).exp()
     }
 
     /// The few engines where queries of a group gather, so that it stays warm there and loads, which hold
@@ -747,6 +753,7 @@
             && self.now >= e.full_until
             && threads + c.threads <= self.places(e)
             && (!self.crowded || self.ahead(r.class) == 0.0 || self.ahead(r.class) + c.threads <= self.window)
+            && (!self.crowded || self.shown(e) <= self.pressure.max(1.0) + JAM_ROOM)
             && !r.out.iter().any(|(_, busy)| *busy == eid)
             && self.cold_room(r.class, e)
     }
