--- a/src/control.rs
+++ b/src/control.rs
@@ -48,8 +48,11 @@
 /// Danger: an engine past its memory crawls; a query from each of many gateways that forgot keeps it there.
 const FADE: Micros = 4_000_000;
 const JAM_FADE: Micros = 10_000_000;
-/// No send to an engine that shows so much more load than all do, and than two threads a core.
+/// No send to an engine that shows so much more than two threads a core.
 const JAM_ROOM: f64 = 0.1;
+const JAM_MAX: f64 = 2.5;
+/// How often a gateway whose requests wait probes an engine.
+const PROBE_EVERY: Micros = 10 * WAKE;
 /// One engine in so many is a home of a group, and the load that being there makes up for.
 const HOME_PART: usize = 4;
 const HOME_GAIN: f64 = 0.25;
@@ -204,11 +207,14 @@
     extras: VecDeque<Micros>,
     next_wake: Micros,
     next_period: Micros,
+    next_probe: Micros,
     /// Served within aim, and served at all, in this period.
     met: (f64, f64),
     /// Bound of own threads where engines can't be bounded one by one, and what moves it: the decayed
     /// load that answers showed, 1 being two threads a core.
     crowded: bool,
+    /// Engines tell how many queries they hold.
+    tells: bool,
     /// Some class holds its group.
     loads: bool,
     window: f64,
@@ -241,7 +247,9 @@
             extras: VecDeque::new(),
             next_wake: 0,
             next_period: 0,
+            next_probe: 1,
             met: (0.0, 0.0),
+            tells: false,
             loads: cfg.classes.iter().any(|c| c.holds),
             crowded: THREADS_PER_CORE * cores < most * f64::from(cfg.gateways),
             window: f64::INFINITY,
@@ -281,6 +289,7 @@
             out.push(Action::Timer(WAKE));
         }
         self.dispatch(out);
+        self.probe(out);
     }
 
     /// Danger: a gateway that stood still finds every engine silent on waking. The time by which its own
@@ -499,6 +508,9 @@
         let load = self.told_load(id, report.as_ref());
         if let (Some(load), Some(e)) = (load, self.engines.get_mut(&id)) {
             e.load = (load, self.now);
+            if report.is_some_and(|r| r.in_flight.is_some()) {
+                self.pressure += (load.min(LOAD_MAX) - self.pressure) * LOAD_WEIGHT;
+            }
         }
     }
 
@@ -517,6 +529,7 @@
         }
         let threads = self.cfg.classes[sent.class].threads;
         let told = self.told_load(o.engine, o.report.as_ref());
+        self.tells |= o.report.is_some_and(|r| r.in_flight.is_some());
         let stretch = match o.work {
             Some(work) => o.elapsed as f64 * threads / (work as f64).max(1.0),
             None => o.elapsed as f64 / self.classes[sent.class].base.min(self.classes[sent.class].run),
@@ -658,10 +671,17 @@
         ((load + e.failing * LOAD_MAX + if away { HOME_GAIN } else { 0.0 }).max(0.0) * 8.0) as u64
     }
 
+    /// The load over which an engine is closed: two threads a core where a probe can tell that it has room
+    /// again, otherwise no less than all engines show, or none would be open.
+    fn bar(&self) -> f64 {
+        if self.cfg.limits.probes && self.tells { 1.0 } else { self.pressure.max(1.0) }
+    }
+
     fn shown(&self, e: &Engine) -> f64 {
         let fade = if e.load.0 > self.pressure { JAM_FADE } else { FADE };
         let age = self.now.saturating_sub(e.load.1) as f64 / fade as f64;
-        self.pressure + (e.load.0 - self.pressure) * (-age).exp()
+        let usual = self.pressure.min(self.bar());
+        usual + (e.load.0.min(JAM_MAX) - usual) * (-age).exp()
     }
 
     /// The few engines where queries of a group gather, so that it stays warm there and loads, which hold
@@ -692,13 +712,7 @@
         if e.out.is_empty() {
             e.heard = self.now; // An idle engine owes no answer.
         }
-        let others = self.engines.iter().filter(|(id, e)| **id != engine && e.entry.readiness == Readiness::Up);
-        let others: Vec<EngineId> = others.map(|(id, _)| *id).collect();
-        if self.crowded && self.cfg.limits.probes && !others.is_empty() {
-            out.push(Action::Probe(others[(self.rng.next_u64() % others.len() as u64) as usize]));
-        }
-        let (Some(r), Some(e)) = (self.requests.get_mut(&id), self.engines.get_mut(&engine)) else { return };
-        let class = &mut self.classes[r.class];
+        self.next_probe = 0;
         if let Health::Ejected(_, trial) = &mut e.health {
             *trial = Some(id);
         }
@@ -753,7 +767,7 @@
             && self.now >= e.full_until
             && threads + c.threads <= self.places(e)
             && (!self.crowded || self.ahead(r.class) == 0.0 || self.ahead(r.class) + c.threads <= self.window)
-            && (!self.crowded || self.shown(e) <= self.pressure.max(1.0) + JAM_ROOM)
+            && (!self.crowded || self.shown(e) <= self.bar() + JAM_ROOM)
             && !r.out.iter().any(|(_, busy)| *busy == eid)
             && self.cold_room(r.class, e)
     }
@@ -855,6 +869,20 @@
         }
     }
 
+    /// Probes one random engine for each send and, while requests wait, now and then: only so can a gateway
+    /// that holds all engines for full learn better.
+    fn probe(&mut self, out: &mut Vec<Action>) {
+        let waiting = self.next_probe == 0 || self.classes.iter().any(|c| !c.queue.is_empty());
+        if self.crowded && self.cfg.limits.probes && waiting && self.now >= self.next_probe {
+            self.next_probe = self.now + PROBE_EVERY;
+            let up = self.engines.iter().filter(|(_, e)| e.entry.readiness == Readiness::Up);
+            let up: Vec<EngineId> = up.map(|(id, _)| *id).collect();
+            if !up.is_empty() {
+                out.push(Action::Probe(up[(self.rng.next_u64() % up.len() as u64) as usize]));
+            }
+        }
+    }
+
     /// Clears old counts, wakes rested keys, ends what is out of time, marks late work, finds silence.
     fn housekeep(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
