--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -273,11 +273,8 @@
 
 fn report(values: &BTreeMap<String, serde_json::Value>) -> Option<core::LoadReport> {
     let value = |name| values.get(name).and_then(serde_json::Value::as_f64);
-    let report = core::LoadReport {
-        in_flight: value("busy_reqs"),
-        memory: value("x0"),
-        cpu: value("cpu_share"),
-    };
+    let report =
+        core::LoadReport { in_flight: value("busy_reqs"), memory: value("x0"), cpu: value("cpu_share") };
     (!values.is_empty()).then_some(report)
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -29,13 +29,7 @@
 const GROWTH_MAX: f64 = 3.0;
 /// A bound never falls under this many queries' worth of threads (DESIGN, ours).
 const MIN_QUERIES: f64 = 2.0;
-/// Times the undisturbed run time that counts as pressure, and at which places are returned.
-const PRESSURE_STRETCH: f64 = 1.6;
-/// An engine without pressure may run this multiple of the slice: room for gateways of unequal load.
-const CALM_ROOM: f64 = 1.5;
-/// The undisturbed run time is the least mean of a period with this many answers; it forgets by a part.
-const BASE_ANSWERS: f64 = 5.0;
-const BASE_FORGETS: f64 = 1.01;
+/// Times the undisturbed run time at which places are returned.
 const RETURN_STRETCH: f64 = 2.5;
 /// Part of answers within aim above which bounds may grow.
 const AIMS_MET: f64 = 0.8;
@@ -62,8 +56,6 @@
 const END_MARGIN: Micros = 3 * WAKE;
 /// Late work of classes that still earn less than this part of their worth is refused instead of kept.
 const LATE_KEEP: f64 = 0.2;
-/// Mean run times kept in hand when judging whether a start still meets the aim: half the queries run longer.
-const RUN_MARGIN: f64 = 1.0;
 /// Part of the aim that a query may wait before it counts as late, however slow the engines are.
 const LEAST_WAIT: f64 = 0.4;
 /// Until answers teach better, a query's work is taken as this part of its class's patience, per thread.
@@ -92,9 +84,6 @@
 const EJECT_PART: f64 = 0.5;
 /// No new send for this long to an engine that was full.
 const FULL_PAUSE: Micros = 1_000_000;
-/// Where clients mark no repeats, a request with less than this part of its class's longest patience is one.
-/// First tries differ too, and taking one for a repeat refuses it at sight.
-const RETRY_PATIENCE: f64 = 0.75;
 /// Pause after a refused call to discovery.
 const ASK_PAUSE: Micros = 500_000;
 
@@ -114,14 +103,11 @@
     work: f64,
     run: f64,
     seen: f64,
-    /// Run times of this period, and the mean of the fastest period: the undisturbed run.
-    ran: (f64, f64),
+    /// The least that the mean run time has been: the undisturbed run.
     base: f64,
     /// Sums of true and of guessed work, for the steady factor of the estimates.
     billed: f64,
     guessed: f64,
-    /// The longest patience seen.
-    patience: Micros,
 }
 
 #[derive(Default)]
@@ -151,8 +137,9 @@
     rest_until: Micros,
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Default, PartialEq)]
 enum Health {
+    #[default]
     Well,
     /// Outlier ejection until a time, then half-open: the one trial that is out.
     Ejected(Micros, Option<RequestId>),
@@ -165,6 +152,7 @@
     at: Micros,
 }
 
+#[derive(Default)]
 struct Engine {
     entry: Entry,
     out: Vec<Sent>,
@@ -228,7 +216,7 @@
         check(&cfg)?;
         let classes = cfg.classes.iter().map(|c| {
             let run = (c.deadline as f64 * PRIOR_WORK).max(1.0);
-            ClassState { work: run * c.threads, run, base: f64::INFINITY, ..ClassState::default() }
+            ClassState { work: run * c.threads, run, base: run, ..ClassState::default() }
         });
         let cores = cfg.cores.iter().copied().fold(1.0, f64::max);
         let most = cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
@@ -333,13 +321,9 @@
             return;
         }
         self.taken.push_back(self.now);
-        let (class, spec) = (&mut self.classes[a.class], &self.cfg.classes[a.class]);
-        let patience = a.valid_until.saturating_sub(self.now);
-        class.patience = class.patience.max(patience);
-        // A client's patience spans all its tries: one with little left began earlier, and its aim too.
-        let short = (patience as f64) < class.patience as f64 * RETRY_PATIENCE;
-        let repeats = if self.cfg.marks_retry { a.retry } else { short };
-        let born = if repeats { a.valid_until.saturating_sub(spec.deadline).min(self.now) } else { self.now };
+        let spec = &self.cfg.classes[a.class];
+        // A client's patience spans all its tries: a repeat began earlier, and its aim too.
+        let born = if a.retry { a.valid_until.saturating_sub(spec.deadline).min(self.now) } else { self.now };
         let key = a.key.filter(|_| spec.in_turn);
         let request = Request {
             class: a.class,
@@ -404,16 +388,15 @@
     fn learn(&mut self, sent: &Sent, o: &Outcome) {
         let (c, threads) = (&mut self.classes[sent.class], self.cfg.classes[sent.class].threads);
         let ran = o.elapsed as f64 * threads;
-        c.ran.0 += o.elapsed as f64;
-        c.ran.1 += 1.0;
         // Danger: without bills the mean run rises with the load; measured against it, nothing looks slow.
-        let usual = c.base.min(c.run) * threads;
+        let usual = c.base * threads;
         // The run time stands in for the work there: too high rather than too low.
         let work = o.work.map_or(ran, |w| w as f64).max(1.0);
         c.seen += 1.0;
         let weight = (1.0 / c.seen).max(MEAN_WEIGHT);
         c.work += (work - c.work) * weight;
         c.run += (o.elapsed as f64 - c.run) * weight;
+        c.base = if c.seen < TAUGHT { c.run } else { c.base.min(c.run) };
         if let Some(guess) = self.requests.get(&o.request).and_then(|r| r.guess) {
             c.billed += work;
             c.guessed += guess;
@@ -477,13 +460,6 @@
     fn update_bounds(&mut self) {
         let waiting = self.classes.iter().any(|c| !c.queue.is_empty());
         let met = self.met.1 == 0.0 || self.met.0 >= AIMS_MET * self.met.1;
-        for c in &mut self.classes {
-            let (sum, n) = std::mem::take(&mut c.ran);
-            c.base *= BASE_FORGETS;
-            if n >= BASE_ANSWERS {
-                c.base = c.base.min(sum / n);
-            }
-        }
         let slices: Vec<f64> = self.engines.values().map(|e| self.slice(e.entry.kind)).collect();
         for (e, slice) in self.engines.values_mut().zip(slices) {
             if e.answers > 0 {
@@ -519,7 +495,8 @@
         let sane = |v: Option<f64>| v.filter(|v| v.is_finite() && *v >= 0.0);
         let (e, report) = (self.engines.get(&id)?, report?);
         let full = THREADS_PER_CORE * self.cores(e.entry.kind);
-        let threads = sane(report.in_flight).map(|n| (n * self.mix() / full).max(sane(report.memory).unwrap_or(0.0)));
+        let threads =
+            sane(report.in_flight).map(|n| (n * self.mix() / full).max(sane(report.memory).unwrap_or(0.0)));
         threads.or(sane(report.cpu).filter(|cpu| *cpu < 0.9).map(|cpu| cpu / THREADS_PER_CORE))
     }
 
@@ -532,7 +509,7 @@
         self.tells |= o.report.is_some_and(|r| r.in_flight.is_some());
         let stretch = match o.work {
             Some(work) => o.elapsed as f64 * threads / (work as f64).max(1.0),
-            None => o.elapsed as f64 / self.classes[sent.class].base.min(self.classes[sent.class].run),
+            None => o.elapsed as f64 / self.classes[sent.class].base,
         };
         let load = match (o.ending, told) {
             (Ending::Full, _) => LOAD_MAX,
@@ -578,10 +555,7 @@
             let left = THREADS_PER_CORE * self.cores(e.entry.kind) - others;
             return left.clamp(slice / MIN_QUERIES, GROWTH_MAX * slice);
         }
-        // Danger: silence is no proof of calm; only fresh answers with little stretch lift the bound.
-        let fresh = self.now < e.heard + PERIOD && e.worked > 0.0;
-        let calm = fresh && e.stretch() < PRESSURE_STRETCH && self.now >= e.full_until;
-        if calm { e.bound.max(CALM_ROOM * slice) } else { e.bound }
+        e.bound
     }
 
     /// Threads of a usual query in flight.
@@ -689,7 +663,7 @@
     fn homes(&self, r: &Request) -> Vec<EngineId> {
         let Some(group) = r.group.filter(|_| self.crowded && self.loads) else { return Vec::new() };
         let up = self.engines.iter().filter(|(_, e)| e.entry.readiness == Readiness::Up);
-        let mut ranked: Vec<(u64, EngineId)> = up.map(|(id, _)| (mixed(group, u64::from(id.0)), *id)).collect();
+        let mut ranked: Vec<(u64, EngineId)> = up.map(|(id, _)| (hash(group, *id), *id)).collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         let homes = ranked.len().div_ceil(HOME_PART);
         ranked.into_iter().take(homes).map(|(_, id)| id).collect()
@@ -950,7 +924,8 @@
         // The latest start that meets the aim, when it runs as queries of its class run now.
         let work = s.expected(r.guess);
         let slow = (s.run * c.threads / s.work).max(1.0);
-        let slack = c.aim as f64 + (c.aim_stretch - slow) * work / c.threads - RUN_MARGIN * s.run;
+        // A mean run is kept in hand: half the queries run longer.
+        let slack = c.aim as f64 + (c.aim_stretch - slow) * work / c.threads - s.run;
         let start_by = r.born.saturating_add(slack.max(c.aim as f64 * LEAST_WAIT) as Micros);
         let late = start_by < self.now;
         let no_time = self.now + END_MARGIN >= r.valid_until;
@@ -1012,12 +987,9 @@
     }
 }
 
-/// A hash of two numbers (the finalizer of splitmix64).
-fn mixed(a: u64, b: u64) -> u64 {
-    let mut z = a.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(b);
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
+/// The place of an engine in a group's order, alike at all gateways.
+fn hash(group: u64, engine: EngineId) -> u64 {
+    Pcg64Mcg::seed_from_u64(group << 32 ^ u64::from(engine.0)).next_u64()
 }
 
 impl ClassState {
@@ -1038,23 +1010,7 @@
 
 impl Engine {
     fn new(entry: &Entry, bound: f64, now: Micros) -> Self {
-        Engine {
-            entry: entry.clone(),
-            out: Vec::new(),
-            ghosts: Vec::new(),
-            bound,
-            ran: 0.0,
-            worked: 0.0,
-            answers: 0,
-            told: None,
-            load: (0.0, 0),
-            full_until: 0,
-            heard: now,
-            failing: 0.0,
-            health: Health::Well,
-            ejections: 0,
-            recent: VecDeque::new(),
-        }
+        Engine { entry: entry.clone(), bound, heard: now, ..Engine::default() }
     }
 
     /// Run time against undisturbed run time, weighted by work.
@@ -1066,25 +1022,16 @@
 /// Settings that leave the mechanism without meaning are an error, not a guess.
 fn check(cfg: &Settings) -> Result<(), SettingsError> {
     let sane = |v: f64| v.is_finite() && v >= 0.0;
-    if cfg.classes.is_empty() {
-        return Err(SettingsError("no classes"));
-    }
-    if cfg.gateways == 0 {
-        return Err(SettingsError("no gateways"));
-    }
-    for c in &cfg.classes {
-        if c.aim == 0 || c.deadline == 0 || !(c.threads.is_finite() && c.threads > 0.0) {
-            return Err(SettingsError("a class without aim, deadline or threads"));
-        }
-        if ![c.aim_stretch, c.late_worth, c.worth].into_iter().all(sane) {
-            return Err(SettingsError("a class with a negative or endless figure"));
-        }
-    }
-    if !cfg.cores.iter().copied().all(sane) {
-        return Err(SettingsError("a negative or endless number of cores"));
-    }
-    if ![cfg.rules.start_capacity, cfg.rules.overload_factor].into_iter().all(sane) {
-        return Err(SettingsError("a negative or endless figure of the cold rule"));
-    }
-    Ok(())
+    let figures = |c: &Class| [c.aim_stretch, c.late_worth, c.worth, c.threads].into_iter().all(sane);
+    let rules = [cfg.rules.start_capacity, cfg.rules.overload_factor];
+    let problem = if cfg.classes.is_empty() || cfg.gateways == 0 {
+        "no classes or no gateways"
+    } else if cfg.classes.iter().any(|c| c.aim == 0 || c.deadline == 0 || c.threads == 0.0) {
+        "a class without aim, deadline or threads"
+    } else if !cfg.classes.iter().all(figures) || !cfg.cores.iter().copied().chain(rules).all(sane) {
+        "a negative or endless figure"
+    } else {
+        return Ok(());
+    };
+    Err(SettingsError(problem))
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,7 +9,7 @@
 pub struct RequestId(pub u64);
 
 /// An engine. It keeps its id when its process restarts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EngineId(pub u32);
 
 /// An ordering key, interned by the host.
@@ -156,9 +156,10 @@
 }
 
 /// State of a listed engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Readiness {
     /// Takes work.
+    #[default]
     Up,
     /// Finishes what it has.
     Draining,
@@ -167,7 +168,7 @@
 }
 
 /// One line of the engine list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Entry {
     /// The engine.
     pub engine: EngineId,
