--- a/src/control.rs
+++ b/src/control.rs
@@ -501,9 +501,6 @@
     }
 
     fn feel(&mut self, sent: &Sent, o: &Outcome) {
-        if !self.crowded {
-            return;
-        }
         let threads = self.cfg.classes[sent.class].threads;
         let told = self.told_load(o.engine, o.report.as_ref());
         self.tells |= o.report.is_some_and(|r| r.in_flight.is_some());
@@ -638,9 +635,6 @@
     /// towards that of all as it ages, and its failures, which make an engine look idle. In steps
     /// of an eighth, so that noise does not herd gateways to one engine.
     fn seems(&self, e: &Engine, away: bool) -> u64 {
-        if !self.crowded {
-            return 0;
-        }
         let load = self.shown(e);
         ((load + e.failing * LOAD_MAX + if away { HOME_GAIN } else { 0.0 }).max(0.0) * 8.0) as u64
     }
@@ -661,7 +655,7 @@
     /// The few engines where queries of a group gather, so that it stays warm there and loads, which hold
     /// it, keep away: those it hashes to highest (rendezvous), alike at all gateways.
     fn homes(&self, r: &Request) -> Vec<EngineId> {
-        let Some(group) = r.group.filter(|_| self.crowded && self.loads) else { return Vec::new() };
+        let Some(group) = r.group.filter(|_| self.loads) else { return Vec::new() };
         let up = self.engines.iter().filter(|(_, e)| e.entry.readiness == Readiness::Up);
         let mut ranked: Vec<(u64, EngineId)> = up.map(|(id, _)| (hash(group, *id), *id)).collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
@@ -847,7 +841,7 @@
     /// that holds all engines for full learn better.
     fn probe(&mut self, out: &mut Vec<Action>) {
         let waiting = self.next_probe == 0 || self.classes.iter().any(|c| !c.queue.is_empty());
-        if self.crowded && self.cfg.limits.probes && waiting && self.now >= self.next_probe {
+        if self.cfg.limits.probes && waiting && self.now >= self.next_probe {
             self.next_probe = self.now + PROBE_EVERY;
             let up = self.engines.iter().filter(|(_, e)| e.entry.readiness == Readiness::Up);
             let up: Vec<EngineId> = up.map(|(id, _)| *id).collect();
