--- a/src/control.rs
+++ b/src/control.rs
@@ -82,8 +82,6 @@
 const EJECT_MAX: Micros = 8_000_000;
 /// At most this part of the listed engines is ejected: what hits more than that is shared by all.
 const EJECT_PART: f64 = 0.5;
-/// No new send for this long to an engine that was full.
-const FULL_PAUSE: Micros = 1_000_000;
 /// Pause after a refused call to discovery.
 const ASK_PAUSE: Micros = 500_000;
 
@@ -156,8 +154,6 @@
 struct Engine {
     entry: Entry,
     out: Vec<Sent>,
-    /// Threads of attempts that timed out but may still run, and until when they count.
-    ghosts: Vec<(f64, Micros)>,
     /// Thread bound under pressure.
     bound: f64,
     /// Decayed sums of run time × threads and of work: their ratio is the stretch.
@@ -168,7 +164,6 @@
     told: Option<f64>,
     /// Load as last shown, and when.
     load: (f64, Micros),
-    full_until: Micros,
     heard: Micros,
     failing: f64,
     health: Health,
@@ -725,14 +720,12 @@
             Health::Well => true,
             Health::Ejected(until, trial) => until <= self.now && trial.is_none() && c.effect == Effect::Pure,
         };
-        let own: f64 = e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum();
-        let threads = own + e.ghosts.iter().map(|g| g.0).sum::<f64>();
+        let threads: f64 = e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum();
         e.entry.readiness == Readiness::Up
             && within(&c.zones, e.entry.zone)
             && within(&c.kinds, e.entry.kind)
             && group
             && healthy
-            && self.now >= e.full_until
             && threads + c.threads <= self.places(e)
             && (!self.crowded || self.ahead(r.class) == 0.0 || self.ahead(r.class) + c.threads <= self.window)
             && (!self.crowded || self.shown(e) <= self.bar() + JAM_ROOM)
@@ -804,16 +797,10 @@
             }
             Ending::Full => {
                 e.heard = now;
-                e.full_until = now + FULL_PAUSE;
                 return;
             }
             Ending::Bad | Ending::Reset => FAIL_WEIGHT,
             Ending::NoConnection => REFUSED_WEIGHT,
-            // Danger: a time-out stops nothing. Its place stays taken for as long again, or places multiply.
-            Ending::Late | Ending::Cancelled if !trial => {
-                e.ghosts.push((self.cfg.classes[sent.class].threads, now.saturating_add(o.elapsed)));
-                return;
-            }
             // A deadline passed: no fault of the engine by itself; silence is judged apart.
             Ending::Late if trial && e.heard < sent.at => 1.0,
             Ending::Late | Ending::Cancelled | Ending::Moot => return,
@@ -888,7 +875,6 @@
         let fall = self.cfg.rules.fall;
         let mut silent = Vec::new();
         for (id, e) in &mut self.engines {
-            e.ghosts.retain(|g| g.1 > now);
             while e.recent.front().is_some_and(|s| s.0.saturating_add(fall) < now) {
                 e.recent.pop_front();
             }
