--- a/src/control.rs
+++ b/src/control.rs
@@ -156,12 +156,11 @@
     out: Vec<Sent>,
     /// Thread bound under pressure.
     bound: f64,
-    /// Decayed sums of run time × threads and of work: their ratio is the stretch.
+    /// This period's sums of run time × threads and of work: their ratio is the stretch.
     ran: f64,
     worked: f64,
-    /// Answers of this period; threads of other gateways as last told.
-    answers: u32,
-    told: Option<f64>,
+    /// Threads of other gateways as last told.
+    others: Option<f64>,
     /// Load as last shown, and when.
     load: (f64, Micros),
     heard: Micros,
@@ -196,6 +195,8 @@
     /// Bound of own threads where engines can't be bounded one by one, and what moves it: the decayed
     /// load that answers showed, 1 being two threads a core.
     crowded: bool,
+    /// Threads of the widest class.
+    most: f64,
     /// Engines tell how many queries they hold.
     tells: bool,
     /// Some class holds its group.
@@ -234,6 +235,7 @@
             met: (0.0, 0.0),
             tells: false,
             loads: cfg.classes.iter().any(|c| c.holds),
+            most,
             crowded: THREADS_PER_CORE * cores < most * f64::from(cfg.gateways),
             window: f64::INFINITY,
             pressure: 0.5,
@@ -399,7 +401,6 @@
         if let Some(e) = self.engines.get_mut(&o.engine) {
             e.ran += ran;
             e.worked += if self.cfg.bills { work } else { usual };
-            e.answers += 1;
         }
     }
 
@@ -441,14 +442,18 @@
         bearable * s.work.max(1.0) / c.worth.max(f64::MIN_POSITIVE)
     }
 
+    /// Threads that count as a full engine.
+    fn full(&self, e: &Engine) -> f64 {
+        THREADS_PER_CORE * self.cores(e.entry.kind)
+    }
+
     fn cores(&self, kind: Option<usize>) -> f64 {
         kind.and_then(|k| self.cfg.cores.get(k)).copied().unwrap_or(1.0)
     }
 
     /// This gateway's threads on an engine of this kind, all gateways being equal.
     fn slice(&self, kind: Option<usize>) -> f64 {
-        let most = self.cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
-        (THREADS_PER_CORE * self.cores(kind) / f64::from(self.cfg.gateways)).max(MIN_QUERIES * most)
+        (THREADS_PER_CORE * self.cores(kind) / f64::from(self.cfg.gateways)).max(MIN_QUERIES * self.most)
     }
 
     /// Grows a bound while requests wait and aims are met; returns places as latency grows.
@@ -457,24 +462,17 @@
         let met = self.met.1 == 0.0 || self.met.0 >= AIMS_MET * self.met.1;
         let slices: Vec<f64> = self.engines.values().map(|e| self.slice(e.entry.kind)).collect();
         for (e, slice) in self.engines.values_mut().zip(slices) {
-            if e.answers > 0 {
-                if e.stretch() > RETURN_STRETCH {
-                    e.bound *= 0.8;
-                } else if waiting && met {
-                    e.bound += 1.0;
-                }
+            if e.ran > RETURN_STRETCH * e.worked {
+                e.bound *= 0.8;
+            } else if e.worked > 0.0 && waiting && met {
+                e.bound += 1.0;
             }
             e.bound = e.bound.clamp(slice, GROWTH_MAX * slice);
-            e.answers = 0;
-            e.ran *= 0.5;
-            e.worked *= 0.5;
+            (e.ran, e.worked) = (0.0, 0.0);
         }
         self.met = (0.0, 0.0);
     }
 
-    /// Danger: with many gateways the floors of their bounds add up to many times an engine's cores, so
-    /// nothing binds and full engines never recover. There the bound holds over all engines together: a
-    /// place more for each answer that shows room, a part less for each that shows too much.
     fn on_probe(&mut self, id: EngineId, report: Option<LoadReport>) {
         let load = self.told_load(id, report.as_ref());
         if let (Some(load), Some(e)) = (load, self.engines.get_mut(&id)) {
@@ -485,16 +483,19 @@
         }
     }
 
-    /// Load of an engine by its report: threads or memory, or else busy cores, which tell of a half at most.
+    /// Load of an engine by its report: threads or memory, or else busy cores while they are not all busy.
     fn told_load(&self, id: EngineId, report: Option<&LoadReport>) -> Option<f64> {
         let sane = |v: Option<f64>| v.filter(|v| v.is_finite() && *v >= 0.0);
         let (e, report) = (self.engines.get(&id)?, report?);
-        let full = THREADS_PER_CORE * self.cores(e.entry.kind);
-        let threads =
-            sane(report.in_flight).map(|n| (n * self.mix() / full).max(sane(report.memory).unwrap_or(0.0)));
+        // Danger: past its memory an engine crawls with cores free; full memory counts as full cores.
+        let memory = sane(report.memory).unwrap_or(0.0);
+        let threads = sane(report.in_flight).map(|n| (n * self.mix() / self.full(e)).max(memory));
         threads.or(sane(report.cpu).filter(|cpu| *cpu < 0.9).map(|cpu| cpu / THREADS_PER_CORE))
     }
 
+    /// Danger: with many gateways the floors of their bounds add up to many times an engine's cores, so
+    /// nothing binds and full engines never recover. There the bound holds over all engines together: a
+    /// place more for each answer that shows room, a part less for each that shows too much.
     fn feel(&mut self, sent: &Sent, o: &Outcome) {
         let threads = self.cfg.classes[sent.class].threads;
         let told = self.told_load(o.engine, o.report.as_ref());
@@ -504,23 +505,28 @@
             None => o.elapsed as f64 / self.classes[sent.class].base,
         };
         let load = match (o.ending, told) {
-            (Ending::Full, _) => LOAD_MAX,
-            (_, Some(told)) => told,
+            (Ending::Good, Some(told)) => told,
             (Ending::Good, None) => stretch / RETURN_STRETCH,
+            // Danger: an engine that fails looks idle; what it tells must not draw more to it.
             _ => LOAD_MAX,
         };
+        let (now, classes) = (self.now, &self.cfg.classes);
+        let full = self.engines.get(&o.engine).map_or(1.0, |e| self.full(e));
         if let Some(e) = self.engines.get_mut(&o.engine) {
-            e.load = (load, self.now);
+            e.load = (load, now);
+
+            let own: f64 = e.out.iter().map(|s| classes[s.class].threads).sum();
+            let others = told.filter(|_| self.tells).map(|t| (t * full - own - threads).max(0.0));
+            e.others = others.map(|o| (e.others.unwrap_or(o) + o) * 0.5).or(e.others);
         }
         if o.ending != Ending::Good && o.ending != Ending::Full {
             return; // Tells of that engine alone.
         }
         self.pressure += (load.min(LOAD_MAX) - self.pressure) * LOAD_WEIGHT;
         if self.pressure > 1.0 {
-            let floor = self.cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
             let busy = self.classes.iter().map(|c| c.busy).sum::<f64>();
             self.window = self.window.min(busy + threads);
-            self.window = (self.window * (1.0 - SHRINK * (self.pressure - 1.0))).max(floor);
+            self.window = (self.window * (1.0 - SHRINK * (self.pressure - 1.0))).max(self.most);
         } else if self.ahead(sent.class) + 2.0 * threads > self.window {
             self.window += threads;
         }
@@ -540,12 +546,11 @@
     /// Threads that this gateway may run there now.
     fn places(&self, e: &Engine) -> f64 {
         let slice = self.slice(e.entry.kind);
-        if let Some(others) = e.told {
+        if let Some(others) = e.others {
             // Danger: even parts leave a busy gateway short and, with many gateways, add up to too much.
             // Where engines tell what they hold, its part is what others leave, at least one query: that one
             // refreshes what was told, which in silence must not expire towards calm.
-            let left = THREADS_PER_CORE * self.cores(e.entry.kind) - others;
-            return left.clamp(slice / MIN_QUERIES, GROWTH_MAX * slice);
+            return (self.full(e) - others).clamp(slice / MIN_QUERIES, GROWTH_MAX * slice);
         }
         e.bound
     }
@@ -627,11 +632,9 @@
     }
 
     /// Where own counts are mostly none, ties go to what an engine last told or showed: its load, fading
-    /// towards that of all as it ages, and its failures, which make an engine look idle. In steps
-    /// of an eighth, so that noise does not herd gateways to one engine.
+    /// towards that of all as it ages. In steps of an eighth, so that noise does not herd gateways.
     fn seems(&self, e: &Engine, away: bool) -> u64 {
-        let load = self.shown(e);
-        ((load + e.failing * LOAD_MAX + if away { HOME_GAIN } else { 0.0 }).max(0.0) * 8.0) as u64
+        ((self.shown(e) + if away { HOME_GAIN } else { 0.0 }) * 8.0) as u64
     }
 
     /// The load over which an engine is closed: two threads a core where a probe can tell that it has room
@@ -640,6 +643,7 @@
         if self.cfg.limits.probes && self.tells { 1.0 } else { self.pressure.max(1.0) }
     }
 
+    /// The load an engine showed, fading towards that of all.
     fn shown(&self, e: &Engine) -> f64 {
         let fade = if e.load.0 > self.pressure { JAM_FADE } else { FADE };
         let age = self.now.saturating_sub(e.load.1) as f64 / fade as f64;
@@ -734,7 +738,9 @@
     }
 
     /// Danger: all gateways together can kill a cold engine. Each keeps to its even part of what the engine
-    /// is sure to bear from its start on, in every window, until it is surely warm.
+    /// is sure to bear from its start on, in every window, until it is surely warm. Where that is less than
+    /// the lightest query, gateways take turns by their index, a window each, and have the part of all
+    /// that do not: or nobody would send anything.
     fn cold_room(&self, class: usize, e: &Engine) -> bool {
         let rules = &self.cfg.rules;
         if e.entry.ready_at == 0 || self.now >= e.entry.ready_at.saturating_add(rules.ramp_time) {
@@ -744,7 +750,12 @@
             rules.overload_factor * rules.start_capacity * self.cores(e.entry.kind) * rules.fall as f64;
         let since = self.now.saturating_sub(rules.fall);
         let sent: f64 = e.recent.iter().filter(|s| s.0 >= since).map(|s| s.1).sum();
-        sent + self.classes[class].usual_work() <= COLD_SAFE * bears / f64::from(self.cfg.gateways)
+        let part = COLD_SAFE * bears / f64::from(self.cfg.gateways);
+        let lightest = self.classes.iter().map(ClassState::usual_work).fold(f64::INFINITY, f64::min);
+        let turns = (lightest / part).ceil().max(1.0);
+        let window = (self.now.saturating_sub(e.entry.ready_at) / rules.fall.max(1))
+            .wrapping_add(self.cfg.index.into());
+        window % turns as u64 == 0 && sent + self.classes[class].usual_work() <= turns * part
     }
 
     /// Whether a request that was sent before may be sent again: effect, attempts, budget.
@@ -767,22 +778,12 @@
 
     /// Health of an engine from the end of an attempt.
     fn judge(&mut self, sent: &Sent, o: &Outcome) {
-        let (now, mix) = (self.now, self.mix());
-        let kind = self.engines.get(&o.engine).and_then(|e| e.entry.kind);
-        let full = THREADS_PER_CORE * self.cores(kind);
+        let now = self.now;
         let Some(e) = self.engines.get_mut(&o.engine) else { return };
         let trial = match &mut e.health {
             Health::Ejected(_, trial) => trial.take_if(|t| *t == o.request).is_some(),
             Health::Well => false,
         };
-        let (told, memory) = o.report.map_or((None, None), |r| (r.in_flight, r.memory));
-        if let Some(told) = told.filter(|v| v.is_finite() && *v >= 0.0) {
-            // Danger: past its memory an engine crawls with cores free; full memory counts as full cores.
-            let filled = memory.filter(|m| m.is_finite()).map_or(0.0, |m| m * full);
-            let own: f64 = e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum();
-            let others = ((told - e.out.len() as f64 - 1.0) * mix).max(filled - own).max(0.0);
-            e.told = Some(e.told.map_or(others, |before| (before + others) * 0.5));
-        }
         let weight = match o.ending {
             Ending::Good => {
                 e.heard = now;
@@ -992,11 +993,6 @@
     fn new(entry: &Entry, bound: f64, now: Micros) -> Self {
         Engine { entry: entry.clone(), bound, heard: now, ..Engine::default() }
     }
-
-    /// Run time against undisturbed run time, weighted by work.
-    fn stretch(&self) -> f64 {
-        if self.worked > 0.0 { self.ran / self.worked } else { 1.0 }
-    }
 }
 
 /// Settings that leave the mechanism without meaning are an error, not a guess.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -87,7 +87,7 @@
     let mut c = Controller::new(settings(vec![class(Effect::Pure)]), 1).expect("usable settings");
     step(&mut c, S, &[list(Scope::All, &[1, 2, 3])]);
     let (mut to_bad, mut id, mut tries) = ([0, 0], 0, (0, 0));
-    for tick in 0..600u64 {
+    for tick in 0..2_500u64 {
         let now = S + tick * 20 * MS;
         let mut events = vec![arrival(id, 0, now + 5 * S)];
         id += 1;
