--- a/src/control.rs
+++ b/src/control.rs
@@ -60,16 +60,13 @@
 const LEAST_WAIT: f64 = 0.4;
 /// Until answers teach better, a query's work is taken as this part of its class's patience, per thread.
 const PRIOR_WORK: f64 = 0.1;
-/// For cold engines the untaught guess is doubled: too little is slow, too much kills the engine.
-const COLD_PRIOR: f64 = 2.0;
 /// Part of the guaranteed cold capacity that is used, for slow cores, gateways of unequal load and chance.
 const COLD_SAFE: f64 = 0.5;
 /// Answers after which a class's learned means count as taught; weight of a new sample after that.
 const TAUGHT: f64 = 20.0;
 const MEAN_WEIGHT: f64 = 0.03;
-/// Failure average of an engine: weight of an answer, of a refused connection, and the ejecting level.
+/// Failure average of an engine: weight of an answer, and the ejecting level.
 const FAIL_WEIGHT: f64 = 0.2;
-const REFUSED_WEIGHT: f64 = 0.5;
 const FAIL_EJECT: f64 = 0.35;
 /// An engine is silent when queries are out for this multiple of their class's usual run time ...
 const SILENT_TIMES: f64 = 4.0;
@@ -103,9 +100,6 @@
     seen: f64,
     /// The least that the mean run time has been: the undisturbed run.
     base: f64,
-    /// Sums of true and of guessed work, for the steady factor of the estimates.
-    billed: f64,
-    guessed: f64,
 }
 
 #[derive(Default)]
@@ -113,7 +107,6 @@
     class: usize,
     key: Option<KeyId>,
     valid_until: Micros,
-    guess: Option<f64>,
     group: Option<u64>,
     /// When its first try began, as far as can be told.
     born: Micros,
@@ -326,7 +319,6 @@
             class: a.class,
             key,
             valid_until: a.valid_until,
-            guess: a.guess.map(|g| g as f64).filter(|g| *g > 0.0),
             group: a.group,
             born,
             came: self.now,
@@ -394,10 +386,6 @@
         c.work += (work - c.work) * weight;
         c.run += (o.elapsed as f64 - c.run) * weight;
         c.base = if c.seen < TAUGHT { c.run } else { c.base.min(c.run) };
-        if let Some(guess) = self.requests.get(&o.request).and_then(|r| r.guess) {
-            c.billed += work;
-            c.guessed += guess;
-        }
         if let Some(e) = self.engines.get_mut(&o.engine) {
             e.ran += ran;
             e.worked += if self.cfg.bills { work } else { usual };
@@ -685,7 +673,7 @@
         }
         class.busy += self.cfg.classes[r.class].threads;
         e.out.push(Sent { request: id, hop: r.attempts, class: r.class, at: self.now });
-        e.recent.push_back((self.now, class.usual_work()));
+        e.recent.push_back((self.now, class.work));
         r.out.push((r.attempts, engine));
         r.tried.push(engine);
         r.attempts += 1;
@@ -751,11 +739,11 @@
         let since = self.now.saturating_sub(rules.fall);
         let sent: f64 = e.recent.iter().filter(|s| s.0 >= since).map(|s| s.1).sum();
         let part = COLD_SAFE * bears / f64::from(self.cfg.gateways);
-        let lightest = self.classes.iter().map(ClassState::usual_work).fold(f64::INFINITY, f64::min);
+        let lightest = self.classes.iter().map(|c| c.work).fold(f64::INFINITY, f64::min);
         let turns = (lightest / part).ceil().max(1.0);
         let window = (self.now.saturating_sub(e.entry.ready_at) / rules.fall.max(1))
             .wrapping_add(self.cfg.index.into());
-        window % turns as u64 == 0 && sent + self.classes[class].usual_work() <= turns * part
+        window % turns as u64 == 0 && sent + self.classes[class].work <= turns * part
     }
 
     /// Whether a request that was sent before may be sent again: effect, attempts, budget.
@@ -800,8 +788,7 @@
                 e.heard = now;
                 return;
             }
-            Ending::Bad | Ending::Reset => FAIL_WEIGHT,
-            Ending::NoConnection => REFUSED_WEIGHT,
+            Ending::Bad | Ending::Reset | Ending::NoConnection => FAIL_WEIGHT,
             // A deadline passed: no fault of the engine by itself; silence is judged apart.
             Ending::Late if trial && e.heard < sent.at => 1.0,
             Ending::Late | Ending::Cancelled | Ending::Moot => return,
@@ -903,10 +890,9 @@
         }
         let (c, s) = (&self.cfg.classes[r.class], &self.classes[r.class]);
         // The latest start that meets the aim, when it runs as queries of its class run now.
-        let work = s.expected(r.guess);
         let slow = (s.run * c.threads / s.work).max(1.0);
         // A mean run is kept in hand: half the queries run longer.
-        let slack = c.aim as f64 + (c.aim_stretch - slow) * work / c.threads - s.run;
+        let slack = c.aim as f64 + (c.aim_stretch - slow) * s.work / c.threads - s.run;
         let start_by = r.born.saturating_add(slack.max(c.aim as f64 * LEAST_WAIT) as Micros);
         let late = start_by < self.now;
         let no_time = self.now + END_MARGIN >= r.valid_until;
@@ -973,22 +959,6 @@
     Pcg64Mcg::seed_from_u64(group << 32 ^ u64::from(engine.0)).next_u64()
 }
 
-impl ClassState {
-    /// Usual work of the class for the cold budget.
-    fn usual_work(&self) -> f64 {
-        if self.seen < TAUGHT { self.work * COLD_PRIOR } else { self.work }
-    }
-
-    /// Work of one query: its estimate, freed of the class's steady factor, or the class's mean.
-    fn expected(&self, guess: Option<f64>) -> f64 {
-        match guess {
-            Some(g) if self.guessed > 0.0 => g * self.billed / self.guessed,
-            Some(g) => g,
-            None => self.work,
-        }
-    }
-}
-
 impl Engine {
     fn new(entry: &Entry, bound: f64, now: Micros) -> Self {
         Engine { entry: entry.clone(), bound, heard: now, ..Engine::default() }
