--- a/src/control.rs
+++ b/src/control.rs
@@ -40,15 +40,13 @@
 const SHRINK: f64 = 0.2;
 /// Time in which what an engine showed of its load fades.
 /// Danger: an engine past its memory crawls; a query from each of many gateways that forgot keeps it there.
-const FADE: Micros = 4_000_000;
-const JAM_FADE: Micros = 10_000_000;
+const FADE: Micros = 10_000_000;
 /// No send to an engine that shows so much more than two threads a core.
 const JAM_ROOM: f64 = 0.1;
-const JAM_MAX: f64 = 2.5;
 /// How often a gateway whose requests wait probes an engine.
 const PROBE_EVERY: Micros = 10 * WAKE;
 /// One engine in so many is a home of a group, and the load that being there makes up for.
-const HOME_PART: usize = 4;
+const HOME_PART: u64 = 4;
 const HOME_GAIN: f64 = 0.25;
 /// Housekeeping interval: deadlines, late marks, silence.
 const WAKE: Micros = 20_000;
@@ -464,9 +462,9 @@
     fn on_probe(&mut self, id: EngineId, report: Option<LoadReport>) {
         let load = self.told_load(id, report.as_ref());
         if let (Some(load), Some(e)) = (load, self.engines.get_mut(&id)) {
-            e.load = (load, self.now);
+            e.load = (load.min(LOAD_MAX), self.now);
             if report.is_some_and(|r| r.in_flight.is_some()) {
-                self.pressure += (load.min(LOAD_MAX) - self.pressure) * LOAD_WEIGHT;
+                self.pressure += (e.load.0 - self.pressure) * LOAD_WEIGHT;
             }
         }
     }
@@ -492,12 +490,13 @@
             Some(work) => o.elapsed as f64 * threads / (work as f64).max(1.0),
             None => o.elapsed as f64 / self.classes[sent.class].base,
         };
-        let load = match (o.ending, told) {
+        let shown = match (o.ending, told) {
             (Ending::Good, Some(told)) => told,
             (Ending::Good, None) => stretch / RETURN_STRETCH,
             // Danger: an engine that fails looks idle; what it tells must not draw more to it.
             _ => LOAD_MAX,
         };
+        let load = shown.min(LOAD_MAX);
         let (now, classes) = (self.now, &self.cfg.classes);
         let full = self.engines.get(&o.engine).map_or(1.0, |e| self.full(e));
         if let Some(e) = self.engines.get_mut(&o.engine) {
@@ -510,7 +509,7 @@
         if o.ending != Ending::Good && o.ending != Ending::Full {
             return; // Tells of that engine alone.
         }
-        self.pressure += (load.min(LOAD_MAX) - self.pressure) * LOAD_WEIGHT;
+        self.pressure += (load - self.pressure) * LOAD_WEIGHT;
         if self.pressure > 1.0 {
             let busy = self.classes.iter().map(|c| c.busy).sum::<f64>();
             self.window = self.window.min(busy + threads);
@@ -598,31 +597,25 @@
         open[open.len() - 1]
     }
 
-    /// The engine with a free place and the fewest own queries; untried ones first; ties by the seed.
+    /// The engine with a free place and the fewest own queries; untried ones first; ties by what engines
+    /// showed, then by the seed.
     fn choose(&mut self, id: RequestId) -> Option<EngineId> {
-        let r = &self.requests[&id];
-        let homes = self.homes(r);
-        let mut best: Option<((bool, usize, u64), Vec<EngineId>)> = None;
-        for (eid, e) in &self.engines {
-            if !self.eligible(r, *eid, e) {
-                continue;
-            }
-            let away = !homes.is_empty() && homes.contains(eid) == self.cfg.classes[r.class].holds;
-            let cost = (r.tried.contains(eid), e.out.len(), self.seems(e, away));
-            match &mut best {
-                Some((least, _)) if *least < cost => {}
-                Some((least, ties)) if *least == cost => ties.push(*eid),
-                _ => best = Some((cost, vec![*eid])),
-            }
-        }
-        let (_, ties) = best?;
-        Some(ties[(self.rng.next_u64() % ties.len() as u64) as usize])
+        let (salt, r) = (self.rng.next_u64(), &self.requests[&id]);
+        let open = self.engines.iter().filter(|(eid, e)| self.eligible(r, **eid, e));
+        let best = open.min_by_key(|(eid, e)| {
+            (r.tried.contains(eid), e.out.len(), self.seems(r, **eid, e), hash(salt, **eid))
+        });
+        best.map(|(eid, _)| *eid)
     }
 
-    /// Where own counts are mostly none, ties go to what an engine last told or showed: its load, fading
-    /// towards that of all as it ages. In steps of an eighth, so that noise does not herd gateways.
-    fn seems(&self, e: &Engine, away: bool) -> u64 {
-        ((self.shown(e) + if away { HOME_GAIN } else { 0.0 }) * 8.0) as u64
+    /// What an engine showed of its load, for ties of own counts: with many gateways most counts are none.
+    /// In steps of an eighth, so that noise does not herd gateways. Each group has homes, alike at all
+    /// gateways (rendezvous): its queries gather there, so that it stays warm, and loads, which hold it,
+    /// keep away.
+    fn seems(&self, r: &Request, eid: EngineId, e: &Engine) -> u64 {
+        let holds = self.cfg.classes[r.class].holds;
+        let away = |group| self.loads && (hash(group, eid) % HOME_PART == 0) == holds;
+        ((self.shown(e) + if r.group.is_some_and(away) { HOME_GAIN } else { 0.0 }) * 8.0) as u64
     }
 
     /// The load over which an engine is closed: two threads a core where a probe can tell that it has room
@@ -633,21 +626,9 @@
 
     /// The load an engine showed, fading towards that of all.
     fn shown(&self, e: &Engine) -> f64 {
-        let fade = if e.load.0 > self.pressure { JAM_FADE } else { FADE };
-        let age = self.now.saturating_sub(e.load.1) as f64 / fade as f64;
+        let age = self.now.saturating_sub(e.load.1) as f64 / FADE as f64;
         let usual = self.pressure.min(self.bar());
-        usual + (e.load.0.min(JAM_MAX) - usual) * (-age).exp()
-    }
-
-    /// The few engines where queries of a group gather, so that it stays warm there and loads, which hold
-    /// it, keep away: those it hashes to highest (rendezvous), alike at all gateways.
-    fn homes(&self, r: &Request) -> Vec<EngineId> {
-        let Some(group) = r.group.filter(|_| self.loads) else { return Vec::new() };
-        let up = self.engines.iter().filter(|(_, e)| e.entry.readiness == Readiness::Up);
-        let mut ranked: Vec<(u64, EngineId)> = up.map(|(id, _)| (hash(group, *id), *id)).collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        let homes = ranked.len().div_ceil(HOME_PART);
-        ranked.into_iter().take(homes).map(|(_, id)| id).collect()
+        usual + (e.load.0 - usual) * (-age).exp()
     }
 
     /// The one sender.
@@ -818,11 +799,9 @@
         let waiting = self.next_probe == 0 || self.classes.iter().any(|c| !c.queue.is_empty());
         if self.cfg.limits.probes && waiting && self.now >= self.next_probe {
             self.next_probe = self.now + PROBE_EVERY;
+            let salt = self.rng.next_u64();
             let up = self.engines.iter().filter(|(_, e)| e.entry.readiness == Readiness::Up);
-            let up: Vec<EngineId> = up.map(|(id, _)| *id).collect();
-            if !up.is_empty() {
-                out.push(Action::Probe(up[(self.rng.next_u64() % up.len() as u64) as usize]));
-            }
+            out.extend(up.map(|(id, _)| *id).min_by_key(|id| hash(salt, *id)).map(Action::Probe));
         }
     }
 
@@ -954,7 +933,7 @@
     }
 }
 
-/// The place of an engine in a group's order, alike at all gateways.
+/// A number for a pair that is alike at all gateways.
 fn hash(group: u64, engine: EngineId) -> u64 {
     Pcg64Mcg::seed_from_u64(group << 32 ^ u64::from(engine.0)).next_u64()
 }
