--- a/src/control.rs
+++ b/src/control.rs
@@ -71,9 +71,8 @@
 const SILENT_FOR: Micros = 1_000_000;
 /// A timer that comes this late tells that this gateway itself stood still.
 const OWN_PAUSE: Micros = 10 * WAKE;
-/// First time of ejection; doubled at each in a row up to the maximum.
-const EJECT_FIRST: Micros = 1_000_000;
-const EJECT_MAX: Micros = 8_000_000;
+/// Time of ejection, and from one trial to the next.
+const EJECT_FOR: Micros = 4_000_000;
 /// At most this part of the listed engines is ejected: what hits more than that is shared by all.
 const EJECT_PART: f64 = 0.5;
 /// Pause after a refused call to discovery.
@@ -125,14 +124,6 @@
     rest_until: Micros,
 }
 
-#[derive(Clone, Copy, Default, PartialEq)]
-enum Health {
-    #[default]
-    Well,
-    /// Outlier ejection until a time, then half-open: the one trial that is out.
-    Ejected(Micros, Option<RequestId>),
-}
-
 struct Sent {
     request: RequestId,
     hop: u32,
@@ -156,8 +147,8 @@
     load: (f64, Micros),
     heard: Micros,
     failing: f64,
-    health: Health,
-    ejections: u32,
+    /// Outlier ejection until this time, then one trial at a time until it answers well.
+    ejected: Option<Micros>,
     /// Sends within the sliding `fall` window: time and usual work.
     recent: VecDeque<(Micros, f64)>,
 }
@@ -248,9 +239,6 @@
                 Event::Wakeup => {}
             }
         }
-        if self.next_period == 0 {
-            self.next_period = self.now + PERIOD;
-        }
         if self.now >= self.next_period {
             self.next_period = self.now + PERIOD;
             self.update_odds();
@@ -341,7 +329,7 @@
         if o.ending == Ending::Good {
             self.learn(&sent, o);
         }
-        self.judge(&sent, o);
+        self.judge(o);
         self.feel(&sent, o);
         let Some(r) = self.requests.get_mut(&o.request) else { return };
         r.out.retain(|(hop, _)| *hop != o.hop);
@@ -642,9 +630,7 @@
             e.heard = self.now; // An idle engine owes no answer.
         }
         self.next_probe = 0;
-        if let Health::Ejected(_, trial) = &mut e.health {
-            *trial = Some(id);
-        }
+        e.ejected = e.ejected.map(|_| self.now + EJECT_FOR);
         class.busy += self.cfg.classes[r.class].threads;
         e.out.push(Sent { request: id, hop: r.attempts, class: r.class, at: self.now });
         e.recent.push_back((self.now, class.work));
@@ -682,10 +668,7 @@
             (Effect::Keyed { group: Group::Cell, .. }, Some((_, cell, _))) => e.entry.cell == cell,
             _ => true,
         };
-        let healthy = match e.health {
-            Health::Well => true,
-            Health::Ejected(until, trial) => until <= self.now && trial.is_none() && c.effect == Effect::Pure,
-        };
+        let healthy = e.ejected.is_none_or(|until| until <= self.now && c.effect == Effect::Pure);
         let threads: f64 = e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum();
         e.entry.readiness == Readiness::Up
             && within(&c.zones, e.entry.zone)
@@ -739,22 +722,15 @@
     }
 
     /// Health of an engine from the end of an attempt.
-    fn judge(&mut self, sent: &Sent, o: &Outcome) {
+    fn judge(&mut self, o: &Outcome) {
         let now = self.now;
         let Some(e) = self.engines.get_mut(&o.engine) else { return };
-        let trial = match &mut e.health {
-            Health::Ejected(_, trial) => trial.take_if(|t| *t == o.request).is_some(),
-            Health::Well => false,
-        };
         let weight = match o.ending {
             Ending::Good => {
                 e.heard = now;
                 e.failing *= 1.0 - FAIL_WEIGHT;
-                if trial || e.failing < FAIL_EJECT {
-                    e.health = Health::Well;
-                }
-                if e.failing < FAIL_EJECT * 0.1 {
-                    e.ejections = 0;
+                if e.failing < FAIL_EJECT {
+                    e.ejected = None;
                 }
                 return;
             }
@@ -764,11 +740,10 @@
             }
             Ending::Bad | Ending::Reset | Ending::NoConnection => FAIL_WEIGHT,
             // A deadline passed: no fault of the engine by itself; silence is judged apart.
-            Ending::Late if trial && e.heard < sent.at => 1.0,
             Ending::Late | Ending::Cancelled | Ending::Moot => return,
         };
         e.failing += (1.0 - e.failing) * weight;
-        if e.failing >= FAIL_EJECT && (trial || e.health == Health::Well) {
+        if e.failing >= FAIL_EJECT {
             self.eject(o.engine);
         }
     }
@@ -776,13 +751,11 @@
     /// Outlier ejection with a limit: a fault of most engines is shared, and ejecting would not help.
     fn eject(&mut self, id: EngineId) {
         let listed = self.engines.values().filter(|e| e.entry.readiness == Readiness::Up).count() as f64;
-        let others = self.engines.iter().filter(|(i, e)| **i != id && e.health != Health::Well).count();
+        let others = self.engines.iter().filter(|(i, e)| **i != id && e.ejected.is_some()).count();
         if let Some(e) = self.engines.get_mut(&id)
             && others as f64 + 1.0 <= (EJECT_PART * listed).max(1.0)
         {
-            let time = (EJECT_FIRST << e.ejections.min(10)).min(EJECT_MAX);
-            e.ejections += 1;
-            e.health = Health::Ejected(self.now + time, None);
+            e.ejected = Some(self.now + EJECT_FOR);
         }
     }
 
@@ -839,7 +812,7 @@
                 e.recent.pop_front();
             }
             let overdue = |s: &Sent| (now - s.at) as f64 > SILENT_TIMES * self.classes[s.class].run;
-            if e.health == Health::Well && now - e.heard > SILENT_FOR && e.out.iter().any(overdue) {
+            if e.ejected.is_none() && now - e.heard > SILENT_FOR && e.out.iter().any(overdue) {
                 silent.push(*id);
             }
         }
