--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -15,7 +15,7 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Event {
-    Hello(Hello),
+    Hello(Box<Hello>),
     Detach(Only),
     Roster(Roster),
     Sync(Sync),
--- a/src/control.rs
+++ b/src/control.rs
@@ -22,7 +22,6 @@
 const ERROR_MAX: f64 = 2.0;
 /// Bounds of x: a class keeps at least about one draw in 65 against its neighbour (anti-windup).
 const X_MIN: f64 = 1.0 / 64.0;
-const X_MAX: f64 = 64.0;
 /// Threads per told core that all gateways together keep running under pressure (DESIGN, ours).
 const THREADS_PER_CORE: f64 = 2.0;
 /// Bounds grow to this multiple of the slice (DESIGN, ours).
@@ -31,13 +30,13 @@
 const MIN_QUERIES: f64 = 2.0;
 /// Times the undisturbed run time at which places are returned.
 const RETURN_STRETCH: f64 = 2.5;
-/// Where engines can't be bounded one by one: the most load that one answer shows, the weight of a new
-/// answer, and the part of the bound that is given back at twice the load.
+/// Load, 1 being two threads a core: the most that one answer shows, the weight of a new answer, and the
+/// part of the window that is given back at twice the load.
 const LOAD_MAX: f64 = 1.6;
 const LOAD_WEIGHT: f64 = 0.2;
 const SHRINK: f64 = 0.2;
-/// Time in which what an engine showed of its load fades.
-/// Danger: an engine past its memory crawls; a query from each of many gateways that forgot keeps it there.
+/// Time in which what an engine showed fades. Danger: an engine past its memory crawls, and a query from
+/// each of many gateways that forgot keeps it there.
 const FADE: Micros = 10_000_000;
 /// No send to an engine that shows so much more than two threads a core.
 const JAM_ROOM: f64 = 0.1;
@@ -174,13 +173,11 @@
     next_probe: Micros,
     /// Answers of this period within their aim, less those that had to be.
     met: f64,
-    /// Bound of own threads where engines can't be bounded one by one, and what moves it: the decayed
-    /// load that answers showed, 1 being two threads a core.
-    crowded: bool,
-    /// Threads of the widest class.
+    /// Threads of the widest class; some class holds its group; engines can't be bounded one by one.
     most: f64,
-    /// Some class holds its group.
     loads: bool,
+    crowded: bool,
+    /// The bound of all own threads there, and the decayed load that answers showed, which moves it.
     window: f64,
     pressure: f64,
     next_ask: Option<Micros>,
@@ -395,10 +392,10 @@
             if a.max(b) <= 2.0 * least {
                 continue; // Nobody waits: the ratio is noise.
             }
-            let target = (self.reference(j) / self.reference(j + 1)).clamp(X_MIN, X_MAX);
+            let target = (self.reference(j) / self.reference(j + 1)).clamp(X_MIN, 1.0 / X_MIN);
             let error = (target - a.max(least) / b.max(least)).clamp(-ERROR_MAX, ERROR_MAX);
             let step = GAIN_NOW * error - GAIN_BEFORE * self.last_error[j];
-            self.x[j] = (self.x[j] + step).clamp(X_MIN, X_MAX);
+            self.x[j] = (self.x[j] + step).clamp(X_MIN, 1.0 / X_MIN);
             self.last_error[j] = error;
         }
     }
@@ -595,7 +592,7 @@
     /// keep away.
     fn seems(&self, r: &Request, eid: EngineId, e: &Engine) -> u64 {
         let holds = self.cfg.classes[r.class].holds;
-        let away = |group| self.loads && (hash(group, eid) % HOME_PART == 0) == holds;
+        let away = |group| self.loads && hash(group, eid).is_multiple_of(HOME_PART) == holds;
         ((self.shown(e) + if r.group.is_some_and(away) { HOME_GAIN } else { 0.0 }) * 8.0) as u64
     }
 
@@ -615,11 +612,9 @@
     /// The one sender.
     fn send(&mut self, id: RequestId, engine: EngineId, out: &mut Vec<Action>) {
         let priority = self.priority(&self.requests[&id]);
+        self.dequeue(id);
         let (Some(r), Some(e)) = (self.requests.get_mut(&id), self.engines.get_mut(&engine)) else { return };
         let class = &mut self.classes[r.class];
-        if let Some(rank) = r.rank.take() {
-            class.queue.remove(&rank);
-        }
         if r.attempts == 0 {
             class.waits.0 += (self.now - r.came) as f64;
             class.waits.1 += 1.0;
@@ -645,13 +640,8 @@
 
     /// The class with the most worth for its work runs ahead inside engines too; late work runs behind.
     fn priority(&self, r: &Request) -> u8 {
-        if r.rank.is_some_and(|rank| rank.0) {
-            0
-        } else if (0..self.classes.len()).all(|c| self.gain(c) <= self.gain(r.class)) {
-            3
-        } else {
-            1
-        }
+        let best = (0..self.classes.len()).all(|c| self.gain(c) <= self.gain(r.class));
+        if r.rank.is_some_and(|rank| rank.0) { 0 } else { 1 + 2 * u8::from(best) }
     }
 
     // ---- guards ---------------------------------------------------------------------------------
@@ -700,7 +690,7 @@
         let turns = (lightest / part).ceil().max(1.0);
         let window = (self.now.saturating_sub(e.entry.ready_at) / rules.fall.max(1))
             .wrapping_add(self.cfg.index.into());
-        window % turns as u64 == 0 && sent + self.classes[class].work <= turns * part
+        window.is_multiple_of(turns as u64) && sent + self.classes[class].work <= turns * part
     }
 
     /// Whether a request that was sent before may be sent again: effect, attempts, budget.
@@ -721,30 +711,24 @@
         harmless && budget && room && r.attempts < self.cfg.limits.max_attempts
     }
 
-    /// Health of an engine from the end of an attempt.
+    /// Health of an engine from the end of an attempt. A passed deadline is no fault of the engine by
+    /// itself; silence is judged apart.
     fn judge(&mut self, o: &Outcome) {
-        let now = self.now;
         let Some(e) = self.engines.get_mut(&o.engine) else { return };
-        let weight = match o.ending {
+        match o.ending {
             Ending::Good => {
-                e.heard = now;
+                e.heard = self.now;
                 e.failing *= 1.0 - FAIL_WEIGHT;
-                if e.failing < FAIL_EJECT {
-                    e.ejected = None;
-                }
-                return;
+                e.ejected = e.ejected.filter(|_| e.failing >= FAIL_EJECT);
             }
-            Ending::Full => {
-                e.heard = now;
-                return;
+            Ending::Full => e.heard = self.now,
+            Ending::Bad | Ending::Reset | Ending::NoConnection => {
+                e.failing += (1.0 - e.failing) * FAIL_WEIGHT;
+                if e.failing >= FAIL_EJECT {
+                    self.eject(o.engine);
+                }
             }
-            Ending::Bad | Ending::Reset | Ending::NoConnection => FAIL_WEIGHT,
-            // A deadline passed: no fault of the engine by itself; silence is judged apart.
-            Ending::Late | Ending::Cancelled | Ending::Moot => return,
-        };
-        e.failing += (1.0 - e.failing) * weight;
-        if e.failing >= FAIL_EJECT {
-            self.eject(o.engine);
+            Ending::Late | Ending::Cancelled | Ending::Moot => {}
         }
     }
 
@@ -781,12 +765,8 @@
             }
         }
         self.turns.retain(|_, t| !t.line.is_empty() || t.rest_until > now);
-        let rested: Vec<RequestId> = self
-            .turns
-            .values()
-            .filter(|t| t.rest_until <= now)
-            .filter_map(|t| t.line.front().copied())
-            .collect();
+        let rested = self.turns.values().filter(|t| t.rest_until <= now);
+        let rested: Vec<RequestId> = rested.filter_map(|t| t.line.front().copied()).collect();
         for id in rested {
             self.enqueue(id, out);
         }
