--- a/src/control.rs
+++ b/src/control.rs
@@ -39,7 +39,7 @@
 /// each of many gateways that forgot keeps it there.
 const FADE: Micros = 10_000_000;
 /// No send to an engine that shows so much more than two threads a core.
-const JAM_ROOM: f64 = 0.1;
+const JAM_ROOM: f64 = 0.25;
 /// How often a gateway whose requests wait probes an engine.
 const PROBE_EVERY: Micros = 10 * WAKE;
 /// One engine in so many is a home of a group, and the load that being there makes up for.
