--- a/simhost/tests/wire.rs
+++ b/simhost/tests/wire.rs
@@ -99,3 +99,23 @@
     let out = play(&batch(1, 0, r#"{"hello":{"i":3,"salt":1,"settings":{}}}"#));
     assert!(String::from_utf8_lossy(&out.stdout).contains("internalError"));
 }
+
+#[test]
+fn probes_go_out_and_their_results_come_in() {
+    let hello = hello(3).replace(r#""maxAttempts":2"#, r#""maxAttempts":2,"mayProbe":true"#);
+    let events =
+        format!(r#"{hello},{LIST},{{"sync":{{"i":3,"scope":"remembered","table":3}}}},{}"#, work(3, "rq_a"));
+    let result = |i: u32, engine: u64| {
+        format!(
+            r#"{{"health":{{"i":{i},"engine":{engine},"elapsed":2,"ending":"GOOD","report":{{"cpu_share":0.5,"odd":1}}}}}}"#
+        )
+    };
+    let unknown = [result(3, 51), result(3, 99), result(8, 51)].join(",");
+    let out = play(&(batch(1, 1000, &events) + &batch(2, 1010, &unknown)));
+    let text = String::from_utf8(out.stdout).expect("UTF-8");
+    assert!(text.contains(r#"{"askLoad":{"i":3,"engine":51}}"#), "{text}");
+    assert_eq!(text.lines().count(), 2, "results of engines and instances it does not know are ignored");
+    let lost = r#"{"health":{"i":3,"ending":"GOOD"}}"#;
+    let out = play(&batch(1, 1000, lost));
+    assert!(String::from_utf8_lossy(&out.stderr).contains("engine"), "a result must name its engine");
+}
--- /dev/null
+++ b/tests/many.rs
@@ -0,0 +1,164 @@
+//! What many gateways, each of which sees only a part, must get right. No bench, no model of engines.
+
+mod common;
+use common::*;
+use hoptiller::*;
+
+/// Settings in which an even part of an engine is less than one query.
+fn many(gateways: u32, index: u32) -> Settings {
+    Settings { gateways, index, ..settings(vec![class(Effect::Pure)]) }
+}
+
+fn told(outcome: Event, elapsed: Micros, in_flight: f64) -> Event {
+    let Event::Outcome(o) = outcome else { return outcome };
+    let report = Some(LoadReport { in_flight: Some(in_flight), ..LoadReport::default() });
+    Event::Outcome(Outcome { elapsed, report, ..o })
+}
+
+/// Serves what is sent for a while; every engine tells `in_flight`.
+fn serve(c: &mut Controller, first: u64, in_flight: f64) {
+    for id in first..first + 40 {
+        let now = S + id * 100 * MS;
+        let sent = sends(&step(c, now, &[arrival(id, 0, now + 5 * S)]));
+        let back: Vec<Event> =
+            sent.iter().map(|(id, e)| told(outcome(*id, 0, *e, Ending::Good), 50 * MS, in_flight)).collect();
+        step(c, now + 50 * MS, &back);
+    }
+}
+
+#[test]
+fn full_engines_shrink_the_window_and_room_opens_it() {
+    let burst = |in_flight| {
+        let mut c = Controller::new(many(100, 0), 1).expect("usable settings");
+        step(&mut c, S, &[list(Scope::All, &(1..30).collect::<Vec<_>>())]);
+        serve(&mut c, 0, in_flight);
+        let events: Vec<Event> = (500..600).map(|id| arrival(id, 0, 20 * S)).collect();
+        sends(&step(&mut c, 6 * S, &events)).len()
+    };
+    // 8 threads are two for each of 4 cores.
+    assert!(burst(2.0) > 20, "room at all: {}", burst(2.0));
+    assert!(burst(16.0) <= 2, "twice full at all: {}", burst(16.0));
+}
+
+#[test]
+fn an_engine_that_told_it_is_full_is_left_alone_until_that_fades_or_a_probe_says_otherwise() {
+    let mut cfg = many(100, 0);
+    cfg.limits.probes = true;
+    let mut c = Controller::new(cfg, 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &[1])]);
+    let sent = sends(&step(&mut c, S, &[arrival(1, 0, 9 * S)]));
+    step(&mut c, S + 50 * MS, &[told(outcome(1, 0, sent[0].1, Ending::Good), 50 * MS, 40.0)]);
+    let out = step(&mut c, S + 300 * MS, &[arrival(2, 0, 9 * S)]);
+    assert_eq!(sends(&out), []);
+    assert!(out.contains(&Action::Probe(EngineId(1))), "a waiting request asks: {out:?}");
+    let empty = LoadReport { in_flight: Some(0.0), ..LoadReport::default() };
+    let out = step(&mut c, S + 320 * MS, &[Event::Probed(EngineId(1), Some(empty))]);
+    assert_eq!(sends(&out), [(2, 1)]);
+}
+
+#[test]
+fn among_engines_without_own_queries_the_least_loaded_is_taken() {
+    for seed in 0..8 {
+        let mut c = Controller::new(many(100, 0), seed).expect("usable settings");
+        step(&mut c, S, &[list(Scope::All, &[1, 2, 3, 4])]);
+        for e in 1..=4 {
+            let in_flight = Some(if e == 3 { 1.0 } else { 7.0 });
+            let report = LoadReport { in_flight, ..LoadReport::default() };
+            step(&mut c, S + 10 * MS, &[Event::Probed(EngineId(e), Some(report))]);
+        }
+        assert_eq!(sends(&step(&mut c, S + 20 * MS, &[arrival(1, 0, 6 * S)])), [(1, 3)]);
+    }
+}
+
+#[test]
+fn queries_of_a_group_gather_and_loads_keep_away() {
+    let mut load = class(Effect::Pure);
+    load.holds = true;
+    let cfg = Settings { gateways: 100, ..settings(vec![class(Effect::Pure), load]) };
+    let engines: Vec<u32> = (1..=16).collect();
+    let places = |class: usize| {
+        let taken = (0..20).map(|seed| {
+            let mut c = Controller::new(cfg.clone(), seed).expect("usable settings");
+            step(&mut c, S, &[list(Scope::All, &engines)]);
+            let Event::Arrival(a) = arrival(1, class, 6 * S) else { unreachable!() };
+            sends(&step(&mut c, S, &[Event::Arrival(Arrival { group: Some(9), ..a })]))[0].1
+        });
+        taken.collect::<std::collections::BTreeSet<u32>>()
+    };
+    let (queries, loads) = (places(0), places(1));
+    assert!(queries.len() <= 8, "homes are a part of the engines: {queries:?}");
+    assert!(queries.is_disjoint(&loads), "{queries:?} {loads:?}");
+}
+
+#[test]
+fn all_gateways_together_keep_the_cold_budget_and_use_it() {
+    let gateways = 60;
+    let mut fleet: Vec<Controller> = (0..gateways)
+        .map(|i| Controller::new(many(gateways, i), u64::from(i)).expect("usable settings"))
+        .collect();
+    let mut cold = entry(1, 0);
+    cold.ready_at = 20 * S;
+    let mut times = Vec::new();
+    let mut open: Vec<Vec<Event>> = vec![vec![Event::List(Scope::All, vec![cold])]; fleet.len()];
+    for tick in 0..300u64 {
+        let now = 20 * S + tick * 20 * MS;
+        for (c, events) in fleet.iter_mut().zip(&mut open) {
+            events.push(arrival(tick, 0, now + 4 * S));
+            let sent = sends(&step(c, now, events));
+            *events = sent.iter().map(|(id, e)| outcome(*id, 0, *e, Ending::Full)).collect();
+            times.extend(sent.iter().map(|_| now));
+        }
+    }
+    // A query counts as 0.5 s of work before any is taught; the engine bears 3 × 0.3 × 4 cores × 1 s.
+    let window = |t: &Micros| times.iter().filter(|u| **u >= *t && **u < *t + S).count() as f64 * 0.5;
+    let most = times.iter().map(window).fold(0.0, f64::max);
+    assert!(most <= 3.6, "{most} s of work in some second");
+    assert!(times.len() >= 6, "it is not left idle: {} sends in 6 s", times.len());
+}
+
+#[test]
+fn a_gateway_that_stood_still_blames_no_engine() {
+    let mut c = Controller::new(many(4, 0), 1).expect("usable settings");
+    let mut out = step(&mut c, S, &[list(Scope::All, &[1, 2]), arrival(1, 0, 60 * S), arrival(2, 0, 60 * S)]);
+    for tick in 1..20u64 {
+        out.extend(step(&mut c, S + tick * 20 * MS, &[]));
+    }
+    assert_eq!(sends(&out).len(), 2, "a query at each");
+    // It stands still for three seconds, far past four runs, and finds its timer and a new request.
+    let out = step(&mut c, 4 * S + 400 * MS, &[Event::Wakeup, arrival(3, 0, 60 * S), arrival(4, 0, 60 * S)]);
+    let mut taken: Vec<u32> = sends(&out).iter().map(|s| s.1).collect();
+    taken.sort_unstable();
+    assert_eq!(taken, [1, 2], "both engines stay open");
+}
+
+#[test]
+fn a_failing_engine_looks_full_however_idle_it_tells_it_is() {
+    let mut c = Controller::new(many(100, 0), 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &[1, 2])]);
+    let sent = sends(&step(&mut c, S, &[arrival(1, 0, 9 * S)]));
+    let bad = sent[0].1;
+    let out = step(&mut c, S + 10 * MS, &[told(outcome(1, 0, bad, Ending::Bad), 5 * MS, 0.0)]);
+    assert_eq!(sends(&out), [(1, 3 - bad)], "the next try goes elsewhere");
+    let events: Vec<Event> = (2..5).map(|id| arrival(id, 0, 9 * S)).collect();
+    assert!(sends(&step(&mut c, S + 20 * MS, &events)).iter().all(|s| s.1 != bad));
+}
+
+#[test]
+fn odd_probes_and_a_leaping_clock_do_no_harm() {
+    let mut cfg = many(3, 77);
+    cfg.cores = vec![];
+    cfg.limits.probes = true;
+    let mut c = Controller::new(cfg, 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &[1, 2])]);
+    for v in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -3.0, f64::MAX] {
+        let report = LoadReport { in_flight: Some(v), memory: Some(v), cpu: Some(v) };
+        step(
+            &mut c,
+            S,
+            &[Event::Probed(EngineId(1), Some(report)), Event::Probed(EngineId(99), Some(report))],
+        );
+    }
+    step(&mut c, S, &[Event::Probed(EngineId(1), None)]);
+    let out = step(&mut c, 600 * S, &[arrival(1, 0, 605 * S)]);
+    assert_eq!(sends(&out).len(), 1, "ten minutes later all is forgotten: {out:?}");
+}
