--- a/src/control.rs
+++ b/src/control.rs
@@ -35,6 +35,8 @@
 const LOAD_MAX: f64 = 1.6;
 const LOAD_WEIGHT: f64 = 0.2;
 const SHRINK: f64 = 0.2;
+/// No report value is taken from here on.
+const ABSURD: f64 = 1e6;
 /// Time in which what an engine showed fades. Danger: an engine past its memory crawls, and a query from
 /// each of many gateways that forgot keeps it there.
 const FADE: Micros = 10_000_000;
@@ -450,7 +452,8 @@
 
     /// Load of an engine by its report: threads or memory, or else busy cores while they are not all busy.
     fn told_load(&self, id: EngineId, report: Option<&LoadReport>) -> Option<f64> {
-        let sane = |v: Option<f64>| v.filter(|v| v.is_finite() && *v >= 0.0);
+        // Danger: one absurd figure would stay in the averages for good.
+        let sane = |v: Option<f64>| v.filter(|v| (0.0..ABSURD).contains(v));
         let (e, report) = (self.engines.get(&id)?, report?);
         // Danger: past its memory an engine crawls with cores free; full memory counts as full cores.
         let memory = sane(report.memory).unwrap_or(0.0);
@@ -479,7 +482,6 @@
         let full = self.engines.get(&o.engine).map_or(1.0, |e| self.full(e));
         if let Some(e) = self.engines.get_mut(&o.engine) {
             e.load = (load, now);
-
             let own: f64 = e.out.iter().map(|s| classes[s.class].threads).sum();
             let others =
                 told.filter(|_| self.cfg.tells_in_flight).map(|t| (t * full - own - threads).max(0.0));
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -159,6 +159,11 @@
         );
     }
     step(&mut c, S, &[Event::Probed(EngineId(1), None)]);
+    let sent = sends(&step(&mut c, S, &[arrival(7, 0, 6 * S), arrival(8, 0, 6 * S)]));
+    let back = |(id, e): &(u64, u32)| told(outcome(*id, 0, *e, Ending::Good), 50 * MS, f64::MAX);
+    step(&mut c, S + 50 * MS, &sent.iter().map(back).collect::<Vec<_>>());
+    let events: Vec<Event> = (20..40).map(|id| arrival(id, 0, 9 * S)).collect();
+    assert_eq!(sends(&step(&mut c, S + 60 * MS, &events)).len(), 4, "the bound is what it was: two at each");
     let out = step(&mut c, 600 * S, &[arrival(1, 0, 605 * S)]);
     assert_eq!(sends(&out).len(), 1, "ten minutes later all is forgotten: {out:?}");
 }
