--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -21,7 +21,7 @@
     Sync(Sync),
     WorkItem(WorkItem),
     Started(Only),
-    Notice(Only),
+    Notice(Notice),
     Outcome(Outcome),
     Dropped(Dropped),
     Wakeup(Only),
@@ -104,6 +104,19 @@
     pub retry: bool,
 }
 
+#[derive(Deserialize)]
+pub struct Notice {
+    pub i: u64,
+    pub handle: String,
+    #[serde(default)]
+    pub hop: u32,
+    pub engine: u32,
+    #[serde(default)]
+    pub sort: u32,
+    #[serde(default)]
+    pub level: f64,
+}
+
 #[derive(Deserialize)]
 pub struct Outcome {
     pub i: u64,
@@ -242,6 +255,7 @@
     pub retry_after: bool,
     pub max_retry_after: f64,
     pub may_probe: bool,
+    pub cancel: bool,
 }
 
 #[derive(Deserialize, Default)]
@@ -264,6 +278,11 @@
     pub parallelism: Vec<f64>,
     pub loads: Vec<bool>,
     pub cpu_of_kind: Vec<f64>,
+    pub kind_memory_mb: Vec<f64>,
+    pub max_grant_share: f64,
+    pub memory_short: Option<String>,
+    pub takes_grants: bool,
+    pub progress_pace: f64,
     pub ranks_heeded: bool,
     pub bills: bool,
 }
@@ -278,6 +297,7 @@
 #[serde(rename_all = "camelCase", default)]
 pub struct Telemetry {
     pub names: Vec<String>,
+    pub source: Option<String>,
 }
 
 #[derive(Serialize)]
@@ -313,6 +333,11 @@
         i: u64,
         handle: String,
     },
+    Withdraw {
+        i: u64,
+        handle: String,
+        hop: u32,
+    },
     AskLoad {
         i: u64,
         engine: u32,
--- a/src/control.rs
+++ b/src/control.rs
@@ -76,6 +76,12 @@
 const EJECT_FOR: Micros = 4_000_000;
 /// At most this part of the listed engines is ejected: what hits more than that is shared by all.
 const EJECT_PART: f64 = 0.5;
+/// An attempt of which no note came for this multiple of their interval runs no more, or nothing gets back.
+const GONE_TIMES: f64 = 1.6;
+/// A first attempt whose pace leaves it this many usual runs to go is withdrawn and tried again, once; the
+/// least share done that is believed.
+const REDO_TIMES: f64 = 3.0;
+const LEAST_DONE: f64 = 0.002;
 /// Pause after a refused call to discovery.
 const ASK_PAUSE: Micros = 500_000;
 
@@ -113,6 +119,8 @@
     /// Attempts without outcome: hop and engine.
     out: Vec<(u32, EngineId)>,
     tried: Vec<EngineId>,
+    /// An attempt was withdrawn for its pace.
+    slow: bool,
     /// Zone, cell and sending time of the first attempt that may have run.
     may_have_run: Option<(Option<usize>, u64, Micros)>,
     done: bool,
@@ -130,6 +138,9 @@
     hop: u32,
     class: usize,
     at: Micros,
+    /// The last note of it, or its sending.
+    noted: Micros,
+    withdrawn: bool,
 }
 
 #[derive(Default)]
@@ -233,6 +244,9 @@
                 Event::List(scope, entries) => self.on_list(*scope, entries),
                 Event::Arrival(a) => self.on_arrival(a, out),
                 Event::Outcome(o) => self.on_outcome(o, out),
+                Event::Note { request, hop, engine, progress } => {
+                    self.on_note(*request, *hop, *engine, *progress, out);
+                }
                 Event::Probed(id, report) => self.on_probe(*id, *report),
                 Event::Dropped(id) => self.end(*id, None, out),
                 Event::Wakeup => {}
@@ -286,6 +300,11 @@
             e.entry = entry.clone();
         }
         self.engines.retain(|_, e| e.entry.readiness != Readiness::Removed || !e.out.is_empty());
+        // Danger: before the first answers of a full fleet, all gateways together would bury it.
+        if self.window.is_infinite() && !self.engines.is_empty() {
+            let all: f64 = self.engines.values().map(|e| self.full(e)).sum();
+            self.window = GROWTH_MAX * (all / f64::from(self.cfg.gateways)).max(self.most);
+        }
     }
 
     fn on_arrival(&mut self, a: &Arrival, out: &mut Vec<Action>) {
@@ -487,8 +506,11 @@
                 told.filter(|_| self.cfg.tells_in_flight).map(|t| (t * full - own - threads).max(0.0));
             e.others = others.map(|o| (e.others.unwrap_or(o) + o) * 0.5).or(e.others);
         }
-        if o.ending != Ending::Good && o.ending != Ending::Full {
-            return; // Tells of that engine alone.
+        // Danger: when all engines crawl nothing is answered. Where notes tell lost answers apart a time-out
+        // is load; elsewhere, and for other failures, it tells of that engine alone.
+        let late = o.ending == Ending::Late && self.cfg.progress_every > 0;
+        if !late && o.ending != Ending::Good && o.ending != Ending::Full {
+            return;
         }
         self.pressure += (load - self.pressure) * LOAD_WEIGHT;
         if self.pressure > 1.0 {
@@ -629,13 +651,16 @@
         self.next_probe = 0;
         e.ejected = e.ejected.map(|_| self.now + EJECT_FOR);
         class.busy += self.cfg.classes[r.class].threads;
-        e.out.push(Sent { request: id, hop: r.attempts, class: r.class, at: self.now });
+        let (at, hop) = (self.now, r.attempts);
+        e.out.push(Sent { request: id, hop, class: r.class, at, noted: at, withdrawn: false });
         e.recent.push_back((self.now, class.work));
         r.out.push((r.attempts, engine));
         r.tried.push(engine);
         r.attempts += 1;
-        if self.cfg.limits.priorities && priority != 1 {
-            out.push(Action::Priority { request: id, priority });
+        // What is granted beyond the need takes nothing there, and what lacks is read from disk.
+        let grant = if self.cfg.grants && self.cfg.overcommits { self.cfg.most_grant } else { 0.0 };
+        if (self.cfg.limits.priorities && priority != 1) || grant > 0.0 {
+            out.push(Action::Terms { request: id, priority, grant });
         }
         out.push(Action::Send { request: id, engine, not_past: None });
     }
@@ -749,7 +774,7 @@
     /// that holds all engines for full learn better.
     fn probe(&mut self, out: &mut Vec<Action>) {
         let waiting = self.next_probe == 0 || self.classes.iter().any(|c| !c.queue.is_empty());
-        if self.cfg.limits.probes && waiting && self.now >= self.next_probe {
+        if self.cfg.limits.probes && self.cfg.reports && waiting && self.now >= self.next_probe {
             self.next_probe = self.now + PROBE_EVERY;
             let salt = self.rng.next_u64();
             let up = self.engines.iter().filter(|(_, e)| e.entry.readiness == Readiness::Up);
@@ -757,6 +782,29 @@
         }
     }
 
+    /// Judges an attempt by its pace. Danger: a bad plan, drawn anew for each attempt, holds threads and
+    /// memory for many runs: it is withdrawn and tried again. A second one that is as slow is slow by itself
+    /// and goes on, unless its pace takes it past the client's patience: then it is given up.
+    fn on_note(&mut self, id: RequestId, hop: u32, eid: EngineId, told: Progress, out: &mut Vec<Action>) {
+        let (now, limits) = (self.now, &self.cfg.limits);
+        let Some(e) = self.engines.get_mut(&eid) else { return };
+        let Some(sent) = e.out.iter_mut().find(|s| s.request == id && s.hop == hop) else { return };
+        (sent.noted, e.heard) = (now, now);
+        let (Progress::Done(done), Some(r)) = (told, self.requests.get_mut(&id)) else { return };
+        if !limits.cancel || sent.withdrawn || r.done || !(0.0..=1.0).contains(&done) {
+            return;
+        }
+        let (ran, run) = ((now - sent.at) as f64, self.classes[r.class].run);
+        let (left, patience) = (ran / done.max(LEAST_DONE) - ran, r.valid_until.saturating_sub(now) as f64);
+        let again = !r.slow && r.attempts < limits.max_attempts && run < patience;
+        if again && self.cfg.classes[r.class].effect == Effect::Pure && left > REDO_TIMES * run {
+            r.slow = true;
+            withdraw(sent, out);
+        } else if left > patience {
+            self.give_up(id, out);
+        }
+    }
+
     /// Clears old counts, wakes rested keys, ends what is out of time, marks late work, finds silence.
     fn housekeep(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
@@ -788,11 +836,18 @@
             }
         }
         let fall = self.cfg.rules.fall;
+        let gone = Some((self.cfg.progress_every as f64 * GONE_TIMES) as Micros);
+        let gone = gone.filter(|after| *after > 0 && self.cfg.limits.cancel);
         let mut silent = Vec::new();
         for (id, e) in &mut self.engines {
             while e.recent.front().is_some_and(|s| s.0.saturating_add(fall) < now) {
                 e.recent.pop_front();
             }
+            // Danger: a lost answer, or an engine that died unseen, holds the client until it leaves. Where
+            // notes come, an attempt without any is gone: its request may be tried again.
+            for s in e.out.iter_mut().filter(|s| gone.is_some_and(|after| now > s.noted + after)) {
+                withdraw(s, out);
+            }
             let overdue = |s: &Sent| (now - s.at) as f64 > SILENT_TIMES * self.classes[s.class].run;
             if e.ejected.is_none() && now - e.heard > SILENT_FOR && e.out.iter().any(overdue) {
                 silent.push(*id);
@@ -871,7 +926,10 @@
             }
         }
         if !r.out.is_empty() {
-            return; // Its attempts still hold places, and its key.
+            // Its attempts still hold places, and its key, until engines stop them.
+            let sent = self.engines.values_mut().flat_map(|e| &mut e.out);
+            sent.filter(|s| self.cfg.limits.cancel && s.request == id).for_each(|s| withdraw(s, out));
+            return;
         }
         let key = r.key;
         self.requests.remove(&id);
@@ -881,6 +939,12 @@
     }
 }
 
+/// Withdraws an attempt, once; it keeps its place until its outcome.
+fn withdraw(sent: &mut Sent, out: &mut Vec<Action>) {
+    let cancel = Action::Cancel { request: sent.request, hop: sent.hop };
+    out.extend((!std::mem::replace(&mut sent.withdrawn, true)).then_some(cancel));
+}
+
 /// A number for a pair that is alike at all gateways.
 fn hash(group: u64, engine: EngineId) -> u64 {
     Pcg64Mcg::seed_from_u64(group << 32 ^ u64::from(engine.0)).next_u64()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -94,6 +94,8 @@
     pub priorities: bool,
     /// Engines may be probed.
     pub probes: bool,
+    /// Attempts may be withdrawn; engines then stop their work.
+    pub cancel: bool,
 }
 
 /// How many further attempts one router may make.
@@ -143,6 +145,16 @@
     pub tenants: Vec<f64>,
     /// Worth of a request beyond its tenant's share, against one within it. Not used yet.
     pub over_share_worth: f64,
+    /// Engines report something of their load, in answers or to probes.
+    pub reports: bool,
+    /// Time between notes of an attempt's progress; 0: none come.
+    pub progress_every: Micros,
+    /// Memory grants are heeded.
+    pub grants: bool,
+    /// Most memory that one query may be granted on the smallest kind, in MB.
+    pub most_grant: f64,
+    /// Memory is overcommitted: a grant takes no more than the query needs, and nothing queues for it.
+    pub overcommits: bool,
     /// Load reports tell how many queries an engine holds.
     pub tells_in_flight: bool,
     /// Answers tell the work a query needed.
@@ -273,6 +285,17 @@
     pub report: Option<LoadReport>,
 }
 
+/// What a note tells of an attempt that is out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Progress {
+    /// Share done, rough.
+    Done(f64),
+    /// It lacks memory and spills to disk.
+    Spills,
+    /// It stands still, for memory or behind a load.
+    Waits,
+}
+
 /// Something the controller is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -282,6 +305,17 @@
     Arrival(Arrival),
     /// An attempt has ended.
     Outcome(Outcome),
+    /// Word on an attempt that is still out.
+    Note {
+        /// The request.
+        request: RequestId,
+        /// Which of its attempts, from 0.
+        hop: u32,
+        /// Where it runs.
+        engine: EngineId,
+        /// What is told.
+        progress: Progress,
+    },
     /// A probe has ended; the report only where it succeeded.
     Probed(EngineId, Option<LoadReport>),
     /// The client has gone; no answer is owed.
@@ -302,12 +336,21 @@
         /// When to give this attempt up; `None`: when the client does.
         not_past: Option<Micros>,
     },
-    /// Set the priority of a request, before its send.
-    Priority {
+    /// Set priority and memory of a request, before its send.
+    Terms {
         /// The request.
         request: RequestId,
         /// 0 to 3.
         priority: u8,
+        /// Memory to grant, in MB; 0 leaves it to the engine.
+        grant: f64,
+    },
+    /// Withdraw an attempt; its [`Event::Outcome`] still comes.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// Which of its attempts, from 0.
+        hop: u32,
     },
     /// Final answer: refused, trying again is harmless.
     Refuse {
--- /dev/null
+++ b/tests/notes.rs
@@ -0,0 +1,130 @@
+//! Notes of progress and withdrawals: bad plans, lost answers, clients that left.
+
+mod common;
+use common::*;
+use hoptiller::*;
+
+fn noted(classes: Vec<Class>) -> Settings {
+    let mut cfg = Settings { progress_every: S, ..settings(classes) };
+    cfg.limits.cancel = true;
+    cfg
+}
+
+fn note(id: u64, hop: u32, engine: u32, done: f64) -> Event {
+    let progress = Progress::Done(done);
+    Event::Note { request: RequestId(id), hop, engine: EngineId(engine), progress }
+}
+
+fn long() -> Class {
+    Class { deadline: 25 * S, ..class(Effect::Pure) }
+}
+
+fn cancels(actions: &[Action]) -> Vec<(u64, u32)> {
+    let pick = |a: &Action| match a {
+        Action::Cancel { request, hop } => Some((request.0, *hop)),
+        _ => None,
+    };
+    actions.iter().filter_map(pick).collect()
+}
+
+/// A controller with one request out, and the engine that has it.
+fn running(cfg: Settings) -> (Controller, u32) {
+    let mut c = Controller::new(cfg, 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &[1, 2])]);
+    let sent = sends(&step(&mut c, S, &[arrival(1, 0, 26 * S)]));
+    (c, sent[0].1)
+}
+
+#[test]
+fn a_bad_plan_is_withdrawn_and_tried_again_once() {
+    let (mut c, e) = running(noted(vec![long()]));
+    // Half a second in and a hundredth done: 50 s to go against a usual run of 2.5 s.
+    let out = step(&mut c, 1500 * MS, &[note(1, 0, e, 0.01)]);
+    assert_eq!(
+        (cancels(&out), sends(&out)),
+        (vec![(1, 0)], vec![]),
+        "nothing else goes out before its outcome"
+    );
+    assert_eq!(cancels(&step(&mut c, 1600 * MS, &[note(1, 0, e, 0.01)])), [], "withdrawn once");
+    let out = step(&mut c, 1700 * MS, &[outcome(1, 0, e, Ending::Cancelled)]);
+    assert_eq!(sends(&out), [(1, 3 - e)]);
+    // The second is slow but in time: slow by itself.
+    let out = step(&mut c, 3700 * MS, &[note(1, 1, 3 - e, 0.15)]);
+    assert_eq!((cancels(&out), answers(&out)), (vec![], vec![]));
+    // Past the client's patience: given up and answered at once.
+    let out = step(&mut c, 4700 * MS, &[note(1, 1, 3 - e, 0.05)]);
+    assert_eq!((cancels(&out), answers(&out)), (vec![(1, 1)], vec![(1, true)]));
+}
+
+#[test]
+fn a_usual_pace_goes_on_and_odd_notes_do_no_harm() {
+    let (mut c, e) = running(noted(vec![long()]));
+    let odd = [f64::NAN, -1.0, 7.0, f64::INFINITY].map(|done| note(1, 0, e, done));
+    assert_eq!(cancels(&step(&mut c, 1400 * MS, &odd)), []);
+    let strangers = [note(9, 0, e, 0.0), note(1, 4, e, 0.0), note(1, 0, 77, 0.0)];
+    assert_eq!(cancels(&step(&mut c, 1450 * MS, &strangers)), []);
+    assert_eq!(cancels(&step(&mut c, 1500 * MS, &[note(1, 0, e, 0.2), note(1, 0, e, 0.1)])), []);
+    let out = step(&mut c, 1600 * MS, &[outcome(1, 0, e, Ending::Good), note(1, 0, e, 0.0)]);
+    assert_eq!((cancels(&out), answers(&out)), (vec![], vec![]), "a note of what is over");
+}
+
+#[test]
+fn an_unsafe_query_is_never_tried_again_for_its_pace() {
+    let (mut c, e) = running(noted(vec![Class { effect: Effect::Unsafe, ..long() }]));
+    let out = step(&mut c, 1500 * MS, &[note(1, 0, e, 0.01)]);
+    assert_eq!((cancels(&out), answers(&out)), (vec![(1, 0)], vec![(1, false)]), "failed, not refused");
+    assert_eq!(sends(&step(&mut c, 1700 * MS, &[outcome(1, 0, e, Ending::Cancelled)])), []);
+}
+
+#[test]
+fn an_attempt_without_notes_is_gone_and_its_request_tried_again() {
+    let (mut c, e) = running(noted(vec![long()]));
+    assert_eq!(cancels(&step(&mut c, 2 * S, &[note(1, 0, e, 0.5)])), []);
+    assert_eq!(cancels(&step(&mut c, 3500 * MS, &[])), [], "the next note is not surely due");
+    assert_eq!(cancels(&step(&mut c, 3700 * MS, &[])), [(1, 0)]);
+    // Danger: the answer may cross the withdrawal, and ends the request.
+    let out = step(&mut c, 3710 * MS, &[outcome(1, 0, e, Ending::Good)]);
+    assert_eq!((sends(&out), answers(&out)), (vec![], vec![]));
+    let mut cfg = noted(vec![long()]);
+    cfg.limits.cancel = false;
+    let (mut c, _) = running(cfg);
+    assert_eq!(cancels(&step(&mut c, 9 * S, &[])), [], "not where engines heed no cancel");
+}
+
+#[test]
+fn work_of_a_client_that_left_is_withdrawn() {
+    let (mut c, e) = running(noted(vec![long()]));
+    assert_eq!(cancels(&step(&mut c, 2 * S, &[Event::Dropped(RequestId(1))])), [(1, 0)]);
+    let out = step(&mut c, 2100 * MS, &[outcome(1, 0, e, Ending::Cancelled)]);
+    assert_eq!((cancels(&out), sends(&out), answers(&out)), (vec![], vec![], vec![]));
+}
+
+#[test]
+fn time_outs_close_the_window_where_notes_come() {
+    let sent = |progress_every| {
+        let mut c = Controller::new(Settings { gateways: 100, progress_every, ..settings(vec![long()]) }, 1)
+            .expect("usable settings");
+        step(&mut c, S, &[list(Scope::All, &(1..60).collect::<Vec<_>>())]);
+        for id in 0..30 {
+            let now = S + id * 100 * MS;
+            let sent = sends(&step(&mut c, now, &[arrival(id, 0, now + 25 * S)]));
+            let late = |s: &(u64, u32)| outcome(s.0, 0, s.1, Ending::Late);
+            step(&mut c, now + 50 * MS, &sent.iter().map(late).collect::<Vec<_>>());
+        }
+        let events: Vec<Event> = (500..600).map(|id| arrival(id, 0, 29 * S)).collect();
+        sends(&step(&mut c, 4 * S, &events)).len()
+    };
+    assert!(sent(S) <= 2, "crawling engines are buried: {}", sent(S));
+    assert!(sent(0) > 8, "one engine's time-outs close all: {}", sent(0));
+}
+
+#[test]
+fn full_grants_only_where_they_take_nothing() {
+    let grant = |overcommits| {
+        let cfg = Settings { grants: true, most_grant: 4096.0, overcommits, ..settings(vec![long()]) };
+        let mut c = Controller::new(cfg, 1).expect("usable settings");
+        let out = step(&mut c, S, &[list(Scope::All, &[1]), arrival(1, 0, 26 * S)]);
+        out.iter().any(|a| matches!(a, Action::Terms { grant, .. } if *grant == 4096.0))
+    };
+    assert!(grant(true) && !grant(false));
+}
