--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -253,7 +253,7 @@
         cores: s.extra.cpu_of_kind.clone(),
         tenants: s.tenants.iter().map(|t| t.fraction).collect(),
         over_share_worth: s.over_share_worth,
-        reports: s.telemetry.source.as_deref() != Some("none"),
+        reports: s.telemetry.names.iter().any(|n| ["busy_reqs", "x0", "cpu_share"].contains(&n.as_str())),
         progress_every: micros(s.extra.progress_pace),
         grants: s.extra.takes_grants,
         most_grant: s.extra.kind_memory_mb.iter().copied().reduce(f64::min).unwrap_or(0.0)
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -297,7 +297,6 @@
 #[serde(rename_all = "camelCase", default)]
 pub struct Telemetry {
     pub names: Vec<String>,
-    pub source: Option<String>,
 }
 
 #[derive(Serialize)]
--- a/simhost/tests/wire.rs
+++ b/simhost/tests/wire.rs
@@ -26,7 +26,12 @@
 const LIST: &str = r#"{"roster":{"table":3,"elements":[{"engine":51,"zone":"z","machine":"k","weight":0,"readiness":"up"}]}}"#;
 
 fn start(i: u32) -> String {
-    format!(r#"{},{LIST},{{"sync":{{"i":{i},"scope":"remembered","table":3}}}}"#, hello(i))
+    start_of(&hello(i)).replace(r#""i":3,"#, &format!(r#""i":{i},"#))
+}
+
+/// Instance 3 with this first message and a list.
+fn start_of(hello: &str) -> String {
+    format!(r#"{hello},{LIST},{{"sync":{{"i":3,"scope":"remembered","table":3}}}}"#)
 }
 
 fn work(i: u32, handle: &str) -> String {
@@ -103,8 +108,13 @@
 #[test]
 fn probes_go_out_and_their_results_come_in() {
     let hello = hello(3).replace(r#""maxAttempts":2"#, r#""maxAttempts":2,"mayProbe":true"#);
-    let events =
-        format!(r#"{hello},{LIST},{{"sync":{{"i":3,"scope":"remembered","table":3}}}},{}"#, work(3, "rq_a"));
+    let blind = play(&batch(1, 1000, &[start_of(&hello), work(3, "rq_a")].join(",")));
+    assert!(
+        !String::from_utf8_lossy(&blind.stdout).contains("askLoad"),
+        "no probe where it can tell nothing"
+    );
+    let hello = hello.replace(r#""settings":{"#, r#""settings":{"telemetry":{"names":["cpu_share"]},"#);
+    let events = [start_of(&hello), work(3, "rq_a")].join(",");
     let result = |i: u32, engine: u64| {
         format!(
             r#"{{"health":{{"i":{i},"engine":{engine},"elapsed":2,"ending":"GOOD","report":{{"cpu_share":0.5,"odd":1}}}}}}"#
@@ -119,3 +129,22 @@
     let out = play(&batch(1, 1000, lost));
     assert!(String::from_utf8_lossy(&out.stderr).contains("engine"), "a result must name its engine");
 }
+
+#[test]
+fn notes_reach_the_controller_and_withdrawals_the_wire() {
+    let hello = hello(3)
+        .replace(r#""maxAttempts":2"#, r#""maxAttempts":2,"cancel":true"#)
+        .replace(r#""parallelism":[1]"#, r#""parallelism":[1],"progressPace":500"#);
+    let note = |at: &str| format!(r#"{{"notice":{{"i":3,"handle":{at}}}}}"#);
+    let slow = note(r#""rq_a","hop":0,"engine":51,"sort":1,"level":0.01"#);
+    let odd = [r#""rq_b","engine":51,"sort":1"#, r#""rq_a","engine":9,"sort":3,"level":1"#];
+    let odd = [note(odd[0]), note(odd[1]), note(r#""rq_a","engine":51,"sort":77,"level":-1"#)].join(",");
+    let started = [start_of(&hello), work(3, "rq_a")].join(",");
+    let text = play(&(batch(1, 1000, &started) + &batch(2, 1500, &odd) + &batch(3, 2000, &slow))).stdout;
+    let text = String::from_utf8(text).expect("UTF-8");
+    let lines: Vec<&str> = text.lines().collect();
+    assert!(!lines[1].contains("withdraw"), "{text}");
+    assert!(lines[2].contains(r#"{"withdraw":{"i":3,"handle":"rq_a","hop":0}}"#), "{text}");
+    let lost = play(&batch(1, 1000, r#"{"notice":{"i":3,"handle":"rq_a"}}"#));
+    assert!(String::from_utf8_lossy(&lost.stderr).contains("engine"), "a note must name its engine");
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -18,72 +18,51 @@
 /// Gains of the PI update, Δx = GAIN_NOW·e(k) − GAIN_BEFORE·e(k−1); from the paper, Eq. 11.
 const GAIN_NOW: f64 = 0.42;
 const GAIN_BEFORE: f64 = 0.1;
-/// Bound of the error, so that one odd ratio cannot throw x (anti-windup).
-const ERROR_MAX: f64 = 2.0;
-/// Bounds of x: a class keeps at least about one draw in 65 against its neighbour (anti-windup).
-const X_MIN: f64 = 1.0 / 64.0;
-/// Threads per told core that all gateways together keep running under pressure (DESIGN, ours).
-const THREADS_PER_CORE: f64 = 2.0;
-/// Bounds grow to this multiple of the slice (DESIGN, ours).
-const GROWTH_MAX: f64 = 3.0;
-/// A bound never falls under this many queries' worth of threads (DESIGN, ours).
-const MIN_QUERIES: f64 = 2.0;
-/// Times the undisturbed run time at which places are returned.
-const RETURN_STRETCH: f64 = 2.5;
+const ERROR_MAX: f64 = 2.0; // Bound of the error, so that one odd ratio cannot throw x (anti-windup).
+const X_MIN: f64 = 1.0 / 64.0; // Bounds of x: about one draw in 65 is kept (anti-windup).
+const THREADS_PER_CORE: f64 = 2.0; // That all gateways together run under pressure (DESIGN, ours).
+const GROWTH_MAX: f64 = 3.0; // Bounds grow to this multiple of the slice (DESIGN, ours).
+const MIN_QUERIES: f64 = 2.0; // A bound never falls under this many queries' worth of threads (DESIGN, ours).
+const RETURN_STRETCH: f64 = 2.5; // Times the work, or undisturbed run, at which an engine is full.
+const CALM_STRETCH: f64 = 1.2; // The same where only run times tell: they tell late.
 /// Load, 1 being two threads a core: the most that one answer shows, the weight of a new answer, and the
 /// part of the window that is given back at twice the load.
 const LOAD_MAX: f64 = 1.6;
 const LOAD_WEIGHT: f64 = 0.2;
 const SHRINK: f64 = 0.2;
-/// No report value is taken from here on.
-const ABSURD: f64 = 1e6;
+const LEAST_WINDOW: f64 = 0.125; // The window falls to no less than this part of the widest query.
+const ABSURD: f64 = 1e6; // No report value is taken from here on.
 /// Time in which what an engine showed fades. Danger: an engine past its memory crawls, and a query from
 /// each of many gateways that forgot keeps it there.
 const FADE: Micros = 10_000_000;
-/// No send to an engine that shows so much more than two threads a core.
-const JAM_ROOM: f64 = 0.25;
-/// How often a gateway whose requests wait probes an engine.
-const PROBE_EVERY: Micros = 10 * WAKE;
+const JAM_ROOM: f64 = 0.25; // No send to an engine that shows so much more than two threads a core.
+const PROBE_EVERY: Micros = 10 * WAKE; // How often a gateway whose requests wait probes an engine.
 /// One engine in so many is a home of a group, and the load that being there makes up for.
 const HOME_PART: u64 = 4;
 const HOME_GAIN: f64 = 0.25;
-/// Part of answers within aim above which bounds may grow.
-const AIMS_MET: f64 = 0.8;
-/// Housekeeping interval: deadlines, late marks, silence.
-const WAKE: Micros = 20_000;
-/// Queued requests are ended this long before the client gives up, so that the answer is in time.
-const END_MARGIN: Micros = 3 * WAKE;
-/// Late work of classes that still earn less than this part of their worth is refused instead of kept.
-const LATE_KEEP: f64 = 0.2;
-/// Part of the aim that a query may wait before it counts as late, however slow the engines are.
-const LEAST_WAIT: f64 = 0.4;
-/// Until answers teach better, a query's work is taken as this part of its class's patience, per thread.
-const PRIOR_WORK: f64 = 0.1;
-/// Part of the guaranteed cold capacity that is used, for slow cores, gateways of unequal load and chance.
-const COLD_SAFE: f64 = 0.5;
-/// Weight of a new sample in a class's learned means, once there are enough.
-const MEAN_WEIGHT: f64 = 0.03;
+const AIMS_MET: f64 = 0.8; // Part of answers within aim above which bounds may grow.
+const WAKE: Micros = 20_000; // Housekeeping interval: deadlines, late marks, silence.
+const END_MARGIN: Micros = 3 * WAKE; // Queued requests end this long before the client gives up.
+const LATE_KEEP: f64 = 0.2; // Late work that earns less of its worth is refused, not kept.
+const LEAST_WAIT: f64 = 0.4; // Part of the aim that a query may wait before it is late.
+const PRIOR_WORK: f64 = 0.1; // Work as part of the patience, per thread, until answers come.
+const COLD_SAFE: f64 = 0.5; // Used part of what a cold engine is sure to bear: chance, slow cores.
+const MEAN_WEIGHT: f64 = 0.03; // Weight of a new sample in a class's learned means, once there are enough.
+const BASE_WEIGHT: f64 = 0.125; // The undisturbed run is held once a sample weighs no more.
 /// Failure average of an engine: weight of an answer, and the ejecting level.
 const FAIL_WEIGHT: f64 = 0.2;
 const FAIL_EJECT: f64 = 0.35;
-/// An engine is silent when queries are out for this multiple of their class's usual run time ...
-const SILENT_TIMES: f64 = 4.0;
-/// ... and nothing at all has come back for this long.
-const SILENT_FOR: Micros = 1_000_000;
-/// A timer that comes this late tells that this gateway itself stood still.
-const OWN_PAUSE: Micros = 10 * WAKE;
-/// Time of ejection, and from one trial to the next.
-const EJECT_FOR: Micros = 4_000_000;
-/// At most this part of the listed engines is ejected: what hits more than that is shared by all.
-const EJECT_PART: f64 = 0.5;
-/// An attempt of which no note came for this multiple of their interval runs no more, or nothing gets back.
-const GONE_TIMES: f64 = 1.6;
+const SILENT_TIMES: f64 = 4.0; // Silent: out for this multiple of the class's usual run ...
+const SILENT_FOR: Micros = 1_000_000; // ... and nothing at all has come back for this long.
+const OWN_PAUSE: Micros = 10 * WAKE; // A timer this late tells that this gateway itself stood still.
+const EJECT_FOR: Micros = 4_000_000; // Time of ejection, and from one trial to the next.
+const EJECT_PART: f64 = 0.5; // At most this part is ejected: what hits more is shared by all.
+const GONE_TIMES: f64 = 1.6; // Without a note for so many intervals an attempt is gone.
 /// A first attempt whose pace leaves it this many usual runs to go is withdrawn and tried again, once; the
 /// least share done that is believed.
 const REDO_TIMES: f64 = 3.0;
 const LEAST_DONE: f64 = 0.002;
-/// Pause after a refused call to discovery.
-const ASK_PAUSE: Micros = 500_000;
+const ASK_PAUSE: Micros = 500_000; // Pause after a refused call to discovery.
 
 // ---- state --------------------------------------------------------------------------------------
 
@@ -93,15 +72,16 @@
 #[derive(Default)]
 struct ClassState {
     queue: BTreeSet<Rank>,
-    /// Threads of its attempts that are out.
+    /// Threads of its attempts that are out, and the rest after one where the window is less than it.
     busy: f64,
+    rest_until: Micros,
     /// Sum and count of waits in this period.
     waits: (f64, f64),
-    /// Mean work of all threads, and mean run time, in µs; answers seen.
+    /// Mean work of all threads, and mean run time, in µs; answers seen; the undisturbed run, which is the
+    /// least that the mean has been.
     work: f64,
     run: f64,
     seen: f64,
-    /// The least that the mean run time has been: the undisturbed run.
     base: f64,
 }
 
@@ -294,8 +274,7 @@
             if entry.ready_at > e.entry.ready_at {
                 // A new process: cold again, and its predecessor's health says nothing of it.
                 let (out, recent) = (std::mem::take(&mut e.out), std::mem::take(&mut e.recent));
-                *e = Engine::new(entry, slice, self.now);
-                (e.out, e.recent) = (out, recent);
+                *e = Engine { out, recent, ..Engine::new(entry, slice, self.now) };
             }
             e.entry = entry.clone();
         }
@@ -313,18 +292,11 @@
         }
         self.taken.push_back(self.now);
         let spec = &self.cfg.classes[a.class];
-        // A client's patience spans all its tries: a repeat began earlier, and its aim too.
+        // A client's patience spans all its tries: a repeat began earlier.
         let born = if a.retry { a.valid_until.saturating_sub(spec.deadline).min(self.now) } else { self.now };
         let key = a.key.filter(|_| spec.in_turn);
-        let request = Request {
-            class: a.class,
-            key,
-            valid_until: a.valid_until,
-            group: a.group,
-            born,
-            came: self.now,
-            ..Request::default()
-        };
+        let Arrival { class, valid_until, group, .. } = *a;
+        let request = Request { class, key, valid_until, group, born, came: self.now, ..Request::default() };
         self.requests.insert(a.request, request);
         self.ends.insert((a.valid_until, a.request));
         if let Some(key) = key {
@@ -385,7 +357,7 @@
         let weight = (1.0 / c.seen).max(MEAN_WEIGHT);
         c.work += (work - c.work) * weight;
         c.run += (o.elapsed as f64 - c.run) * weight;
-        c.base = if weight > MEAN_WEIGHT { c.run } else { c.base.min(c.run) };
+        c.base = if weight > BASE_WEIGHT { c.run } else { c.base.min(c.run) };
         if let Some(e) = self.engines.get_mut(&o.engine) {
             e.ran += ran;
             e.worked += if self.cfg.bills { work } else { usual };
@@ -435,6 +407,11 @@
         THREADS_PER_CORE * self.cores(e.entry.kind)
     }
 
+    /// Own threads there.
+    fn own(&self, e: &Engine) -> f64 {
+        e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum()
+    }
+
     fn cores(&self, kind: Option<usize>) -> f64 {
         kind.and_then(|k| self.cfg.cores.get(k)).copied().unwrap_or(1.0)
     }
@@ -490,20 +467,22 @@
             Some(work) => o.elapsed as f64 * threads / (work as f64).max(1.0),
             None => o.elapsed as f64 / self.classes[sent.class].base,
         };
+        let soon = o.elapsed < self.cfg.classes[sent.class].deadline / 2;
         let shown = match (o.ending, told) {
             (Ending::Good, Some(told)) => told,
+            (Ending::Good, None) if o.work.is_none() => stretch / CALM_STRETCH,
             (Ending::Good, None) => stretch / RETURN_STRETCH,
+            // A client that came with little time left tells nothing of the engine.
+            (Ending::Late, _) if self.cfg.progress_every > 0 && soon => return,
             // Danger: an engine that fails looks idle; what it tells must not draw more to it.
             _ => LOAD_MAX,
         };
-        let load = shown.min(LOAD_MAX);
-        let (now, classes) = (self.now, &self.cfg.classes);
-        let full = self.engines.get(&o.engine).map_or(1.0, |e| self.full(e));
+        let (load, now) = (shown.min(LOAD_MAX), self.now);
+        let (own, full) = self.engines.get(&o.engine).map_or((0.0, 1.0), |e| (self.own(e), self.full(e)));
         if let Some(e) = self.engines.get_mut(&o.engine) {
             e.load = (load, now);
-            let own: f64 = e.out.iter().map(|s| classes[s.class].threads).sum();
-            let others =
-                told.filter(|_| self.cfg.tells_in_flight).map(|t| (t * full - own - threads).max(0.0));
+            let told = told.filter(|_| self.cfg.tells_in_flight);
+            let others = told.map(|t| (t * full - own - threads).max(0.0));
             e.others = others.map(|o| (e.others.unwrap_or(o) + o) * 0.5).or(e.others);
         }
         // Danger: when all engines crawl nothing is answered. Where notes tell lost answers apart a time-out
@@ -516,10 +495,16 @@
         if self.pressure > 1.0 {
             let busy = self.classes.iter().map(|c| c.busy).sum::<f64>();
             self.window = self.window.min(busy + threads);
-            self.window = (self.window * (1.0 - SHRINK * (self.pressure - 1.0))).max(self.most);
+            let least = self.most * LEAST_WINDOW;
+            self.window = (self.window * (1.0 - SHRINK * (self.pressure - 1.0))).max(least);
         } else if self.ahead(sent.class) + 2.0 * threads > self.window {
             self.window += threads;
         }
+        // Danger: a query from each of many gateways is too much. Where the window is less than one query,
+        // its class rests after each until the mean is kept.
+        let class = &mut self.classes[sent.class];
+        let rest = class.run * (threads / self.window - 1.0).max(0.0);
+        class.rest_until = class.rest_until.max(now + rest as Micros);
     }
 
     /// Worth of a usual query for its work.
@@ -686,19 +671,26 @@
             _ => true,
         };
         let healthy = e.ejected.is_none_or(|until| until <= self.now && c.effect == Effect::Pure);
-        let threads: f64 = e.out.iter().map(|s| self.cfg.classes[s.class].threads).sum();
         e.entry.readiness == Readiness::Up
             && within(&c.zones, e.entry.zone)
             && within(&c.kinds, e.entry.kind)
             && group
             && healthy
-            && threads + c.threads <= self.places(e)
-            && (!self.crowded || self.ahead(r.class) == 0.0 || self.ahead(r.class) + c.threads <= self.window)
+            && self.own(e) + c.threads <= self.places(e)
+            && (!self.crowded || self.in_window(r))
             && (!self.crowded || self.shown(e) <= self.bar() + JAM_ROOM)
             && !r.out.iter().any(|(_, busy)| *busy == eid)
             && self.cold_room(r.class, e)
     }
 
+    /// One query at least, but after its rest; late work fills only half of the window.
+    fn in_window(&self, r: &Request) -> bool {
+        let (ahead, late) = (self.ahead(r.class), r.rank.is_some_and(|rank| rank.0));
+        let room = if late { 0.5 } else { 1.0 } * self.window;
+        let fits = (ahead == 0.0 && !late) || ahead + self.cfg.classes[r.class].threads <= room;
+        fits && self.now >= self.classes[r.class].rest_until
+    }
+
     /// Danger: all gateways together can kill a cold engine. Each keeps to its even part of what the engine
     /// is sure to bear from its start on, in every window, until it is surely warm. Where that is less than
     /// the lightest query, gateways take turns by their index, a window each, and have the part of all
@@ -708,8 +700,8 @@
         if e.entry.ready_at == 0 || self.now >= e.entry.ready_at.saturating_add(rules.ramp_time) {
             return true;
         }
-        let bears =
-            rules.overload_factor * rules.start_capacity * self.cores(e.entry.kind) * rules.fall as f64;
+        let present = rules.start_capacity * self.cores(e.entry.kind);
+        let bears = rules.overload_factor * present * rules.fall as f64;
         let since = self.now.saturating_sub(rules.fall);
         let sent: f64 = e.recent.iter().filter(|s| s.0 >= since).map(|s| s.1).sum();
         let part = COLD_SAFE * bears / f64::from(self.cfg.gateways);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -145,7 +145,7 @@
     pub tenants: Vec<f64>,
     /// Worth of a request beyond its tenant's share, against one within it. Not used yet.
     pub over_share_worth: f64,
-    /// Engines report something of their load, in answers or to probes.
+    /// Engines tell queries in flight, memory or busy cores, in answers or to probes.
     pub reports: bool,
     /// Time between notes of an attempt's progress; 0: none come.
     pub progress_every: Micros,
--- a/tests/notes.rs
+++ b/tests/notes.rs
@@ -99,23 +99,54 @@
     assert_eq!((cancels(&out), sends(&out), answers(&out)), (vec![], vec![], vec![]));
 }
 
+/// Lets `n` queries of one gateway among a hundred end late after `elapsed`; how many then go out at once.
+fn after_late(progress_every: Micros, elapsed: Micros, n: u64) -> usize {
+    let mut cfg = Settings { gateways: 100, progress_every, ..settings(vec![long()]) };
+    cfg.limits.max_attempts = 1;
+    let mut c = Controller::new(cfg, 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &(1..60).collect::<Vec<_>>())]);
+    for id in 0..n {
+        let now = S + id * 100 * MS;
+        let sent = sends(&step(&mut c, now, &[arrival(id, 0, now + 25 * S)]));
+        let late = |s: &(u64, u32)| match outcome(s.0, 0, s.1, Ending::Late) {
+            Event::Outcome(o) => Event::Outcome(Outcome { elapsed, ..o }),
+            other => other,
+        };
+        step(&mut c, now + 50 * MS, &sent.iter().map(late).collect::<Vec<_>>());
+    }
+    let events: Vec<Event> = (500..600).map(|id| arrival(id, 0, 29 * S)).collect();
+    sends(&step(&mut c, 5 * S, &events)).len()
+}
+
 #[test]
 fn time_outs_close_the_window_where_notes_come() {
-    let sent = |progress_every| {
-        let mut c = Controller::new(Settings { gateways: 100, progress_every, ..settings(vec![long()]) }, 1)
-            .expect("usable settings");
-        step(&mut c, S, &[list(Scope::All, &(1..60).collect::<Vec<_>>())]);
-        for id in 0..30 {
-            let now = S + id * 100 * MS;
-            let sent = sends(&step(&mut c, now, &[arrival(id, 0, now + 25 * S)]));
-            let late = |s: &(u64, u32)| outcome(s.0, 0, s.1, Ending::Late);
-            step(&mut c, now + 50 * MS, &sent.iter().map(late).collect::<Vec<_>>());
-        }
-        let events: Vec<Event> = (500..600).map(|id| arrival(id, 0, 29 * S)).collect();
-        sends(&step(&mut c, 4 * S, &events)).len()
-    };
-    assert!(sent(S) <= 2, "crawling engines are buried: {}", sent(S));
-    assert!(sent(0) > 8, "one engine's time-outs close all: {}", sent(0));
+    assert!(after_late(S, 20 * S, 12) <= 2, "crawling engines are buried: {}", after_late(S, 20 * S, 12));
+    assert!(after_late(0, 20 * S, 12) > 8, "one engine's time-outs close all: {}", after_late(0, 20 * S, 12));
+    assert!(after_late(S, S, 12) > 8, "clients in a hurry close all: {}", after_late(S, S, 12));
+}
+
+#[test]
+fn a_window_under_one_query_is_kept_by_rests() {
+    let quick = class(Effect::Pure); // Worth as much for less work: it runs ahead, in its own window.
+    let wide = Class { threads: 8.0, ..long() };
+    let cfg = Settings { gateways: 100, progress_every: S, ..settings(vec![wide, quick]) };
+    let mut c = Controller::new(cfg, 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &(1..60).collect::<Vec<_>>())]);
+    for id in 0..20 {
+        let now = S + id * 10 * MS;
+        let sent = sends(&step(&mut c, now, &[arrival(id, 1, now + 5 * S)]));
+        let slow = |s: &(u64, u32)| match outcome(s.0, 0, s.1, Ending::Full) {
+            Event::Outcome(o) => Event::Outcome(Outcome { terminal: true, ..o }),
+            other => other,
+        };
+        step(&mut c, now + 5 * MS, &sent.iter().map(slow).collect::<Vec<_>>());
+    }
+    let first = sends(&step(&mut c, 2 * S, &[arrival(50, 0, 26 * S)]));
+    assert_eq!(first.len(), 1, "the first goes out alone");
+    let out = step(&mut c, 3 * S, &[outcome(50, 0, first[0].1, Ending::Good), arrival(51, 0, 28 * S)]);
+    assert_eq!(sends(&out), [], "then the class rests");
+    let later = (1..40).find(|n| !sends(&step(&mut c, 3 * S + n * 100 * MS, &[])).is_empty());
+    assert!(later.is_some(), "and goes on");
 }
 
 #[test]
