--- a/src/control.rs
+++ b/src/control.rs
@@ -30,7 +30,7 @@
 const LOAD_MAX: f64 = 1.6;
 const LOAD_WEIGHT: f64 = 0.2;
 const SHRINK: f64 = 0.2;
-const LEAST_WINDOW: f64 = 0.125; // The window falls to no less than this part of the widest query.
+const LEAST_WINDOW: f64 = 0.125; // There, the window's least part of the widest query; elsewhere one.
 const ABSURD: f64 = 1e6; // No report value is taken from here on.
 /// Time in which what an engine showed fades. Danger: an engine past its memory crawls, and a query from
 /// each of many gateways that forgot keeps it there.
@@ -170,6 +170,8 @@
     most: f64,
     loads: bool,
     crowded: bool,
+    /// Neither reports nor bills come: only run times tell of load.
+    blind: bool,
     /// The bound of all own threads there, and the decayed load that answers showed, which moves it.
     window: f64,
     pressure: f64,
@@ -206,6 +208,7 @@
             loads: cfg.classes.iter().any(|c| c.holds),
             most,
             crowded: THREADS_PER_CORE * cores < most * f64::from(cfg.gateways),
+            blind: !cfg.bills && !cfg.reports,
             window: f64::INFINITY,
             pressure: 0.5,
             next_ask: (cfg.discovery == Discovery::Subscribe).then_some(0),
@@ -470,7 +473,7 @@
         let soon = o.elapsed < self.cfg.classes[sent.class].deadline / 2;
         let shown = match (o.ending, told) {
             (Ending::Good, Some(told)) => told,
-            (Ending::Good, None) if o.work.is_none() => stretch / CALM_STRETCH,
+            (Ending::Good, None) if self.blind => stretch / CALM_STRETCH,
             (Ending::Good, None) => stretch / RETURN_STRETCH,
             // A client that came with little time left tells nothing of the engine.
             (Ending::Late, _) if self.cfg.progress_every > 0 && soon => return,
@@ -495,7 +498,7 @@
         if self.pressure > 1.0 {
             let busy = self.classes.iter().map(|c| c.busy).sum::<f64>();
             self.window = self.window.min(busy + threads);
-            let least = self.most * LEAST_WINDOW;
+            let least = self.most * if self.blind { LEAST_WINDOW } else { 1.0 };
             self.window = (self.window * (1.0 - SHRINK * (self.pressure - 1.0))).max(least);
         } else if self.ahead(sent.class) + 2.0 * threads > self.window {
             self.window += threads;
