--- a/tests/notes.rs
+++ b/tests/notes.rs
@@ -129,7 +129,7 @@
 fn a_window_under_one_query_is_kept_by_rests() {
     let quick = class(Effect::Pure); // Worth as much for less work: it runs ahead, in its own window.
     let wide = Class { threads: 8.0, ..long() };
-    let cfg = Settings { gateways: 100, progress_every: S, ..settings(vec![wide, quick]) };
+    let cfg = Settings { gateways: 100, reports: false, ..settings(vec![wide, quick]) };
     let mut c = Controller::new(cfg, 1).expect("usable settings");
     step(&mut c, S, &[list(Scope::All, &(1..60).collect::<Vec<_>>())]);
     for id in 0..20 {
