--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -154,6 +154,7 @@
             key,
             valid_until: micros(w.valid_until),
             guess: w.guess.map(micros),
+            want_mb: w.want_mb,
             group: w.source_set,
             retry: w.retry,
         })
@@ -163,7 +164,7 @@
     fn note(&self, n: &wire::Notice) -> Option<core::Event> {
         let progress = match n.sort {
             1 => core::Progress::Done(n.level),
-            2 => core::Progress::Spills,
+            2 => core::Progress::Spills(n.level),
             3 => core::Progress::Waits,
             _ => return None,
         };
@@ -255,9 +256,8 @@
         over_share_worth: s.over_share_worth,
         reports: s.telemetry.names.iter().any(|n| ["busy_reqs", "x0", "cpu_share"].contains(&n.as_str())),
         progress_every: micros(s.extra.progress_pace),
-        grants: s.extra.takes_grants,
         most_grant: s.extra.kind_memory_mb.iter().copied().reduce(f64::min).unwrap_or(0.0)
-            * s.extra.max_grant_share,
+            * if s.extra.takes_grants { s.extra.max_grant_share } else { 0.0 },
         overcommits: s.extra.memory_short.as_deref() == Some("overcommit"),
         tells_in_flight: s.telemetry.names.iter().any(|n| n == "busy_reqs"),
         bills: s.extra.bills,
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -99,6 +99,8 @@
     pub table: Option<String>,
     pub valid_until: f64,
     pub guess: Option<f64>,
+    #[serde(default)]
+    pub want_mb: f64,
     pub source_set: Option<u64>,
     #[serde(default)]
     pub retry: bool,
--- a/src/control.rs
+++ b/src/control.rs
@@ -62,6 +62,9 @@
 /// least share done that is believed.
 const REDO_TIMES: f64 = 3.0;
 const LEAST_DONE: f64 = 0.002;
+const SPARE_MORE: f64 = 0.2; // A spill adds so much of the estimate to later grants of the class,
+const SPARE_LESS: f64 = 0.02; // and an answer without one takes this off.
+const EARLY: Micros = 5 * WAKE; // A query that spills so soon after its start has done little.
 const ASK_PAUSE: Micros = 500_000; // Pause after a refused call to discovery.
 
 // ---- state --------------------------------------------------------------------------------------
@@ -75,14 +78,14 @@
     /// Threads of its attempts that are out, and the rest after one where the window is less than it.
     busy: f64,
     rest_until: Micros,
-    /// Sum and count of waits in this period.
-    waits: (f64, f64),
+    waits: (f64, f64), // Sum and count of waits in this period.
     /// Mean work of all threads, and mean run time, in µs; answers seen; the undisturbed run, which is the
     /// least that the mean has been.
     work: f64,
     run: f64,
     seen: f64,
     base: f64,
+    spare: f64, // Memory to grant against the estimate, beyond one.
 }
 
 #[derive(Default)]
@@ -91,18 +94,17 @@
     key: Option<KeyId>,
     valid_until: Micros,
     group: Option<u64>,
-    /// When its first try began, as far as can be told.
-    born: Micros,
+    born: Micros, // When its first try began, as far as can be told.
     came: Micros,
     rank: Option<Rank>,
     attempts: u32,
-    /// Attempts without outcome: hop and engine.
-    out: Vec<(u32, EngineId)>,
+    out: Vec<(u32, EngineId)>, // Attempts without outcome: hop and engine.
     tried: Vec<EngineId>,
-    /// An attempt was withdrawn for its pace.
+    /// Memory to grant, in MB; whether an attempt was withdrawn for want of it, and for its pace.
+    grant: f64,
+    fed: bool,
     slow: bool,
-    /// Zone, cell and sending time of the first attempt that may have run.
-    may_have_run: Option<(Option<usize>, u64, Micros)>,
+    may_have_run: Option<(Option<usize>, u64, Micros)>, // Zone, cell, sending time of the first that may have.
     done: bool,
 }
 
@@ -118,8 +120,8 @@
     hop: u32,
     class: usize,
     at: Micros,
-    /// The last note of it, or its sending.
-    noted: Micros,
+    noted: Micros, // The last note of it, or its sending.
+    spills: bool,
     withdrawn: bool,
 }
 
@@ -133,16 +135,12 @@
     /// This period's sums of run time × threads and of work: their ratio is the stretch.
     ran: f64,
     worked: f64,
-    /// Threads of other gateways as last told.
-    others: Option<f64>,
-    /// Load as last shown, and when.
-    load: (f64, Micros),
+    others: Option<f64>, // Threads of other gateways as last told.
+    load: (f64, Micros), // Load as last shown, and when.
     heard: Micros,
     failing: f64,
-    /// Outlier ejection until this time, then one trial at a time until it answers well.
-    ejected: Option<Micros>,
-    /// Sends within the sliding `fall` window: time and usual work.
-    recent: VecDeque<(Micros, f64)>,
+    ejected: Option<Micros>, // Outlier ejection until this time, then one trial at a time until it answers well.
+    recent: VecDeque<(Micros, f64)>, // Sends within the sliding `fall` window: time and usual work.
 }
 
 /// The decision module of one gateway.
@@ -156,22 +154,19 @@
     last_error: Vec<f64>,
     engines: BTreeMap<EngineId, Engine>,
     requests: BTreeMap<RequestId, Request>,
-    /// Open requests by the time their client gives up.
-    ends: BTreeSet<(Micros, RequestId)>,
+    ends: BTreeSet<(Micros, RequestId)>, // Open requests by the time their client gives up.
     turns: BTreeMap<KeyId, Turn>,
     taken: VecDeque<Micros>,
     extras: VecDeque<Micros>,
     next_wake: Micros,
     next_period: Micros,
     next_probe: Micros,
-    /// Answers of this period within their aim, less those that had to be.
-    met: f64,
+    met: f64, // Answers of this period within their aim, less those that had to be.
     /// Threads of the widest class; some class holds its group; engines can't be bounded one by one.
     most: f64,
     loads: bool,
     crowded: bool,
-    /// Neither reports nor bills come: only run times tell of load.
-    blind: bool,
+    blind: bool, // Neither reports nor bills come: only run times tell of load.
     /// The bound of all own threads there, and the decayed load that answers showed, which moves it.
     window: f64,
     pressure: f64,
@@ -184,7 +179,7 @@
         check(&cfg)?;
         let classes = cfg.classes.iter().map(|c| {
             let run = (c.deadline as f64 * PRIOR_WORK).max(1.0);
-            ClassState { work: run * c.threads, run, base: run, ..ClassState::default() }
+            ClassState { work: run * c.threads, run, base: run, spare: SPARE_MORE, ..ClassState::default() }
         });
         let cores = cfg.cores.iter().copied().fold(1.0, f64::max);
         let most = cfg.classes.iter().map(|c| c.threads).fold(1.0, f64::max);
@@ -298,8 +293,11 @@
         // A client's patience spans all its tries: a repeat began earlier.
         let born = if a.retry { a.valid_until.saturating_sub(spec.deadline).min(self.now) } else { self.now };
         let key = a.key.filter(|_| spec.in_turn);
-        let Arrival { class, valid_until, group, .. } = *a;
-        let request = Request { class, key, valid_until, group, born, came: self.now, ..Request::default() };
+        let (class, valid_until, group, came) = (a.class, a.valid_until, a.group, self.now);
+        // What is granted beyond the need takes nothing where memory is overcommitted.
+        let usual = a.want_mb.clamp(0.0, ABSURD) * (1.0 + self.classes[class].spare);
+        let grant = if self.cfg.overcommits { ABSURD } else { usual }.min(self.cfg.most_grant);
+        let request = Request { class, key, valid_until, group, born, came, grant, ..Request::default() };
         self.requests.insert(a.request, request);
         self.ends.insert((a.valid_until, a.request));
         if let Some(key) = key {
@@ -357,6 +355,7 @@
         // The run time stands in for the work there: too high rather than too low.
         let work = o.work.map_or(ran, |w| w as f64).max(1.0);
         c.seen += 1.0;
+        c.spare = (c.spare - if sent.spills { 0.0 } else { SPARE_LESS }).max(0.0);
         let weight = (1.0 / c.seen).max(MEAN_WEIGHT);
         c.work += (work - c.work) * weight;
         c.run += (o.elapsed as f64 - c.run) * weight;
@@ -640,15 +639,13 @@
         e.ejected = e.ejected.map(|_| self.now + EJECT_FOR);
         class.busy += self.cfg.classes[r.class].threads;
         let (at, hop) = (self.now, r.attempts);
-        e.out.push(Sent { request: id, hop, class: r.class, at, noted: at, withdrawn: false });
+        e.out.push(Sent { request: id, hop, class: r.class, at, noted: at, spills: false, withdrawn: false });
         e.recent.push_back((self.now, class.work));
         r.out.push((r.attempts, engine));
         r.tried.push(engine);
         r.attempts += 1;
-        // What is granted beyond the need takes nothing there, and what lacks is read from disk.
-        let grant = if self.cfg.grants && self.cfg.overcommits { self.cfg.most_grant } else { 0.0 };
-        if (self.cfg.limits.priorities && priority != 1) || grant > 0.0 {
-            out.push(Action::Terms { request: id, priority, grant });
+        if (self.cfg.limits.priorities && priority != 1) || r.grant > 0.0 {
+            out.push(Action::Terms { request: id, priority, grant: r.grant });
         }
         out.push(Action::Send { request: id, engine, not_past: None });
     }
@@ -733,8 +730,7 @@
         harmless && budget && room && r.attempts < self.cfg.limits.max_attempts
     }
 
-    /// Health of an engine from the end of an attempt. A passed deadline is no fault of the engine by
-    /// itself; silence is judged apart.
+    /// Health of an engine from the end of an attempt. A passed deadline alone is no fault of the engine.
     fn judge(&mut self, o: &Outcome) {
         let Some(e) = self.engines.get_mut(&o.engine) else { return };
         match o.ending {
@@ -777,22 +773,34 @@
         }
     }
 
-    /// Judges an attempt by its pace. Danger: a bad plan, drawn anew for each attempt, holds threads and
-    /// memory for many runs: it is withdrawn and tried again. A second one that is as slow is slow by itself
-    /// and goes on, unless its pace takes it past the client's patience: then it is given up.
+    /// Danger: a bad plan, drawn for each attempt, holds threads and memory for many runs: it is withdrawn and
+    /// tried again, once. What is slow again is slow by itself; past the client's patience it is given up.
     fn on_note(&mut self, id: RequestId, hop: u32, eid: EngineId, told: Progress, out: &mut Vec<Action>) {
         let (now, limits) = (self.now, &self.cfg.limits);
         let Some(e) = self.engines.get_mut(&eid) else { return };
         let Some(sent) = e.out.iter_mut().find(|s| s.request == id && s.hop == hop) else { return };
         (sent.noted, e.heard) = (now, now);
-        let (Progress::Done(done), Some(r)) = (told, self.requests.get_mut(&id)) else { return };
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let (class, pure) = (&mut self.classes[r.class], self.cfg.classes[r.class].effect == Effect::Pure);
+        let again = pure && limits.cancel && !sent.withdrawn && !r.done && r.attempts < limits.max_attempts;
+        if let Progress::Spills(lacks) = told {
+            // Danger: estimates are off, and what lacks memory does its work several times over. At its start
+            // little is lost: it is withdrawn, once, and granted what it lacked.
+            class.spare += if sent.spills || r.fed { 0.0 } else { SPARE_MORE };
+            sent.spills = true;
+            let could = r.grant > 0.0 && r.grant < self.cfg.most_grant && (0.0..ABSURD).contains(&lacks);
+            if again && could && !r.fed && now - sent.at < EARLY {
+                (r.fed, r.grant) = (true, (r.grant + lacks).min(self.cfg.most_grant));
+                withdraw(sent, out);
+            }
+        }
+        let Progress::Done(done) = told else { return };
         if !limits.cancel || sent.withdrawn || r.done || !(0.0..=1.0).contains(&done) {
             return;
         }
-        let (ran, run) = ((now - sent.at) as f64, self.classes[r.class].run);
+        let (ran, run) = ((now - sent.at) as f64, class.run);
         let (left, patience) = (ran / done.max(LEAST_DONE) - ran, r.valid_until.saturating_sub(now) as f64);
-        let again = !r.slow && r.attempts < limits.max_attempts && run < patience;
-        if again && self.cfg.classes[r.class].effect == Effect::Pure && left > REDO_TIMES * run {
+        if again && !r.slow && run < patience && left > REDO_TIMES * run {
             r.slow = true;
             withdraw(sent, out);
         } else if left > patience {
@@ -821,14 +829,12 @@
                 self.give_up(id, out);
             }
         }
-        for class in 0..self.classes.len() {
-            while let Some(id) = self.head(class, false) {
-                if self.requests[&id].rank.is_none_or(|r| r.1 >= now) {
-                    break;
-                }
-                self.dequeue(id);
-                self.enqueue(id, out);
-            }
+        let overdue =
+            |c: &ClassState| c.queue.iter().take_while(|r| !r.0 && r.1 < now).map(|r| r.2).collect();
+        let overdue: Vec<Vec<RequestId>> = self.classes.iter().map(overdue).collect();
+        for id in overdue.into_iter().flatten() {
+            self.dequeue(id);
+            self.enqueue(id, out);
         }
         let fall = self.cfg.rules.fall;
         let gone = Some((self.cfg.progress_every as f64 * GONE_TIMES) as Micros);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -149,9 +149,7 @@
     pub reports: bool,
     /// Time between notes of an attempt's progress; 0: none come.
     pub progress_every: Micros,
-    /// Memory grants are heeded.
-    pub grants: bool,
-    /// Most memory that one query may be granted on the smallest kind, in MB.
+    /// Most memory that one query may be granted on the smallest kind, in MB; 0: grants are not heeded.
     pub most_grant: f64,
     /// Memory is overcommitted: a grant takes no more than the query needs, and nothing queues for it.
     pub overcommits: bool,
@@ -258,6 +256,8 @@
     pub valid_until: Micros,
     /// Estimated work of all threads.
     pub guess: Option<Micros>,
+    /// Estimated memory that it needs, in MB; 0: none given.
+    pub want_mb: f64,
     /// The group of tables that it reads or writes, where told.
     pub group: Option<u64>,
     /// The client marks it as a repetition.
@@ -290,8 +290,8 @@
 pub enum Progress {
     /// Share done, rough.
     Done(f64),
-    /// It lacks memory and spills to disk.
-    Spills,
+    /// It lacks so much memory, in MB, and spills to disk.
+    Spills(f64),
     /// It stands still, for memory or behind a load.
     Waits,
 }
--- a/tests/common.rs
+++ b/tests/common.rs
@@ -33,7 +33,6 @@
         over_share_worth: 1.0,
         reports: true,
         progress_every: 0,
-        grants: false,
         most_grant: 0.0,
         overcommits: false,
         tells_in_flight: true,
@@ -84,6 +83,7 @@
         key: None,
         valid_until,
         guess: None,
+        want_mb: 0.0,
         group: None,
         retry: false,
     })
--- a/tests/notes.rs
+++ b/tests/notes.rs
@@ -152,10 +152,65 @@
 #[test]
 fn full_grants_only_where_they_take_nothing() {
     let grant = |overcommits| {
-        let cfg = Settings { grants: true, most_grant: 4096.0, overcommits, ..settings(vec![long()]) };
+        let cfg = Settings { most_grant: 4096.0, overcommits, ..settings(vec![long()]) };
         let mut c = Controller::new(cfg, 1).expect("usable settings");
         let out = step(&mut c, S, &[list(Scope::All, &[1]), arrival(1, 0, 26 * S)]);
         out.iter().any(|a| matches!(a, Action::Terms { grant, .. } if *grant == 4096.0))
     };
     assert!(grant(true) && !grant(false));
 }
+
+#[test]
+fn what_spills_at_its_start_is_withdrawn_once_and_granted_what_it_lacked() {
+    let start = |cfg: Settings| {
+        let mut c = Controller::new(cfg, 1).expect("usable settings");
+        step(&mut c, S, &[list(Scope::All, &[1, 2])]);
+        let Event::Arrival(a) = arrival(1, 0, 26 * S) else { unreachable!("an arrival") };
+        let out = step(&mut c, S, &[Event::Arrival(Arrival { want_mb: 100.0, ..a })]);
+        (c, sends(&out)[0].1, grants(&out))
+    };
+    let spills = |hop, engine, mb| {
+        let (request, engine) = (RequestId(1), EngineId(engine));
+        Event::Note { request, hop, engine, progress: Progress::Spills(mb) }
+    };
+    let cfg = || Settings { most_grant: 4096.0, ..noted(vec![long()]) };
+    let (mut c, e, granted) = start(cfg());
+    assert_eq!(granted, [120.0], "a fifth over the estimate");
+    for odd in [f64::NAN, -5.0, f64::INFINITY] {
+        assert_eq!(cancels(&step(&mut c, S + 5 * MS, &[spills(0, e, odd)])), []);
+    }
+    assert_eq!(cancels(&step(&mut c, S + 6 * MS, &[spills(0, e, 300.0)])), [(1, 0)]);
+    let out = step(&mut c, S + 10 * MS, &[outcome(1, 0, e, Ending::Cancelled)]);
+    assert_eq!((sends(&out), grants(&out)), (vec![(1, 3 - e)], vec![420.0]));
+    assert_eq!(cancels(&step(&mut c, S + 15 * MS, &[spills(1, 3 - e, 50.0)])), [], "once");
+    let (mut c, e, _) = start(cfg());
+    assert_eq!(cancels(&step(&mut c, 2 * S, &[spills(0, e, 300.0)])), [], "not what has done much");
+    let keyed = Class { effect: Effect::Keyed { group: Group::All, window: 20 * S }, ..long() };
+    let (mut c, e, _) = start(Settings { classes: vec![keyed], ..cfg() });
+    assert_eq!(cancels(&step(&mut c, S + 5 * MS, &[spills(0, e, 300.0)])), [], "not what may not run twice");
+}
+
+#[test]
+fn spills_raise_the_grants_of_their_class() {
+    let cfg = Settings { most_grant: 4096.0, ..noted(vec![class(Effect::Unsafe)]) };
+    let mut c = Controller::new(cfg, 1).expect("usable settings");
+    step(&mut c, S, &[list(Scope::All, &[1])]);
+    let mut granted = Vec::new();
+    for id in 0..5 {
+        let now = 2 * S + id * 200 * MS;
+        let Event::Arrival(a) = arrival(id, 0, now + 5 * S) else { unreachable!("an arrival") };
+        granted.extend(grants(&step(&mut c, now, &[Event::Arrival(Arrival { want_mb: 100.0, ..a })])));
+        let (request, engine, progress) = (RequestId(id), EngineId(1), Progress::Spills(90.0));
+        step(&mut c, now + 5 * MS, &[Event::Note { request, hop: 0, engine, progress }]);
+        step(&mut c, now + 100 * MS, &[outcome(id, 0, 1, Ending::Good)]);
+    }
+    assert!(granted.windows(2).all(|w| w[1] > w[0]), "{granted:?}");
+}
+
+fn grants(actions: &[Action]) -> Vec<f64> {
+    let pick = |a: &Action| match a {
+        Action::Terms { grant, .. } => Some(*grant),
+        _ => None,
+    };
+    actions.iter().filter_map(pick).collect()
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -177,6 +177,7 @@
         key: None,
         group: None,
         valid_until: Micros::MAX,
+        want_mb: f64::MAX,
         guess: Some(Micros::MAX),
         retry: false,
     });
