--- a/src/control.rs
+++ b/src/control.rs
@@ -104,7 +104,7 @@
     grant: f64,
     fed: bool,
     slow: bool,
-    may_have_run: Option<(Option<usize>, u64, Micros)>, // Zone, cell, sending time of the first that may have.
+    may_have_run: Option<(Option<usize>, u64, Micros)>, // Zone, cell, time of sending; the first.
     done: bool,
 }
 
@@ -139,7 +139,7 @@
     load: (f64, Micros), // Load as last shown, and when.
     heard: Micros,
     failing: f64,
-    ejected: Option<Micros>, // Outlier ejection until this time, then one trial at a time until it answers well.
+    ejected: Option<Micros>, // Outlier ejection until then; after that one trial at a time.
     recent: VecDeque<(Micros, f64)>, // Sends within the sliding `fall` window: time and usual work.
 }
 
@@ -773,8 +773,8 @@
         }
     }
 
-    /// Danger: a bad plan, drawn for each attempt, holds threads and memory for many runs: it is withdrawn and
-    /// tried again, once. What is slow again is slow by itself; past the client's patience it is given up.
+    /// Danger: a bad plan, drawn for each attempt, holds threads and memory for many runs: it is withdrawn
+    /// and tried again, once. Slow again, it is slow by itself; past the client's patience it is given up.
     fn on_note(&mut self, id: RequestId, hop: u32, eid: EngineId, told: Progress, out: &mut Vec<Action>) {
         let (now, limits) = (self.now, &self.cfg.limits);
         let Some(e) = self.engines.get_mut(&eid) else { return };
