--- a/src/control.rs
+++ b/src/control.rs
@@ -37,9 +37,8 @@
 const FADE: Micros = 10_000_000;
 const JAM_ROOM: f64 = 0.25; // No send to an engine that shows so much more than two threads a core.
 const PROBE_EVERY: Micros = 10 * WAKE; // How often a gateway whose requests wait probes an engine.
-/// One engine in so many is a home of a group, and the load that being there makes up for.
-const HOME_PART: u64 = 4;
-const HOME_GAIN: f64 = 0.25;
+const HOME_PART: u64 = 4; // One engine in so many is a home of a group,
+const HOME_GAIN: f64 = 0.25; // and being there makes up for so much load.
 const AIMS_MET: f64 = 0.8; // Part of answers within aim above which bounds may grow.
 const WAKE: Micros = 20_000; // Housekeeping interval: deadlines, late marks, silence.
 const END_MARGIN: Micros = 3 * WAKE; // Queued requests end this long before the client gives up.
@@ -49,19 +48,16 @@
 const COLD_SAFE: f64 = 0.5; // Used part of what a cold engine is sure to bear: chance, slow cores.
 const MEAN_WEIGHT: f64 = 0.03; // Weight of a new sample in a class's learned means, once there are enough.
 const BASE_WEIGHT: f64 = 0.125; // The undisturbed run is held once a sample weighs no more.
-/// Failure average of an engine: weight of an answer, and the ejecting level.
-const FAIL_WEIGHT: f64 = 0.2;
-const FAIL_EJECT: f64 = 0.35;
+const FAIL_WEIGHT: f64 = 0.2; // Failure average of an engine: weight of an answer,
+const FAIL_EJECT: f64 = 0.35; // and the ejecting level.
 const SILENT_TIMES: f64 = 4.0; // Silent: out for this multiple of the class's usual run ...
 const SILENT_FOR: Micros = 1_000_000; // ... and nothing at all has come back for this long.
 const OWN_PAUSE: Micros = 10 * WAKE; // A timer this late tells that this gateway itself stood still.
 const EJECT_FOR: Micros = 4_000_000; // Time of ejection, and from one trial to the next.
 const EJECT_PART: f64 = 0.5; // At most this part is ejected: what hits more is shared by all.
 const GONE_TIMES: f64 = 1.6; // Without a note for so many intervals an attempt is gone.
-/// A first attempt whose pace leaves it this many usual runs to go is withdrawn and tried again, once; the
-/// least share done that is believed.
-const REDO_TIMES: f64 = 3.0;
-const LEAST_DONE: f64 = 0.002;
+const REDO_TIMES: f64 = 3.0; // An attempt is slow whose pace leaves it so many usual runs to go.
+const LEAST_DONE: f64 = 0.002; // The least share done that is believed.
 const SPARE_MORE: f64 = 0.2; // A spill adds so much of the estimate to later grants of the class,
 const SPARE_LESS: f64 = 0.02; // and an answer without one takes this off.
 const EARLY: Micros = 5 * WAKE; // A query that spills so soon after its start has done little.
@@ -774,7 +770,8 @@
     }
 
     /// Danger: a bad plan, drawn for each attempt, holds threads and memory for many runs: it is withdrawn
-    /// and tried again, once. Slow again, it is slow by itself; past the client's patience it is given up.
+    /// and tried again, once. Slow again, it is slow by itself: it is given up past the client's patience, or
+    /// under pressure, where its place serves several others.
     fn on_note(&mut self, id: RequestId, hop: u32, eid: EngineId, told: Progress, out: &mut Vec<Action>) {
         let (now, limits) = (self.now, &self.cfg.limits);
         let Some(e) = self.engines.get_mut(&eid) else { return };
@@ -803,7 +800,7 @@
         if again && !r.slow && run < patience && left > REDO_TIMES * run {
             r.slow = true;
             withdraw(sent, out);
-        } else if left > patience {
+        } else if left > patience || (r.slow && self.pressure > 1.0 && left > REDO_TIMES * run) {
             self.give_up(id, out);
         }
     }
