What stands still goes elsewhere once and is not given up: nothing done restarts the clock of the pace

Found in review: a note of nothing done, from a query that waits for memory or behind a load, read as 500 runs to go, so keyed loads behind loads were given up at their first note.

--- a/src/control.rs
+++ b/src/control.rs
@@ -111,12 +111,14 @@
     rest_until: Micros,
 }
 
+#[derive(Default)]
 struct Sent {
     request: RequestId,
     hop: u32,
     class: usize,
     at: Micros,
     noted: Micros, // The last note of it, or its sending.
+    paced: Micros, // The last note of nothing done, or its sending.
     spills: bool,
     withdrawn: bool,
 }
@@ -634,9 +636,9 @@
         self.next_probe = 0;
         e.ejected = e.ejected.map(|_| self.now + EJECT_FOR);
         class.busy += self.cfg.classes[r.class].threads;
-        let (at, hop) = (self.now, r.attempts);
-        e.out.push(Sent { request: id, hop, class: r.class, at, noted: at, spills: false, withdrawn: false });
         e.recent.push_back((self.now, class.work));
+        let (at, hop, class) = (self.now, r.attempts, r.class);
+        e.out.push(Sent { request: id, hop, class, at, noted: at, paced: at, ..Sent::default() });
         r.out.push((r.attempts, engine));
         r.tried.push(engine);
         r.attempts += 1;
@@ -779,7 +781,8 @@
         (sent.noted, e.heard) = (now, now);
         let Some(r) = self.requests.get_mut(&id) else { return };
         let (class, pure) = (&mut self.classes[r.class], self.cfg.classes[r.class].effect == Effect::Pure);
-        let again = pure && limits.cancel && !sent.withdrawn && !r.done && r.attempts < limits.max_attempts;
+        let settled = !limits.cancel || sent.withdrawn || r.done;
+        let again = pure && !settled && r.attempts < limits.max_attempts;
         if let Progress::Spills(lacks) = told {
             // Danger: estimates are off, and what lacks memory does its work several times over. At its start
             // little is lost: it is withdrawn, once, and granted what it lacked.
@@ -791,15 +794,14 @@
                 withdraw(sent, out);
             }
         }
-        let Progress::Done(done) = told else { return };
-        if !limits.cancel || sent.withdrawn || r.done || !(0.0..=1.0).contains(&done) {
-            return;
-        }
-        let (ran, run) = ((now - sent.at) as f64, class.run);
+        let (Progress::Done(done @ 0.0..=1.0), false) = (told, settled) else { return };
+        let (ran, run) = ((now - sent.paced) as f64, class.run);
         let (left, patience) = (ran / done.max(LEAST_DONE) - ran, r.valid_until.saturating_sub(now) as f64);
         if again && !r.slow && run < patience && left > REDO_TIMES * run {
             r.slow = true;
             withdraw(sent, out);
+        } else if done == 0.0 {
+            sent.paced = now; // It stands still, for memory or behind a load: not slow by itself.
         } else if left > patience || (r.slow && self.pressure > 1.0 && left > REDO_TIMES * run) {
             self.give_up(id, out);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,7 +5,7 @@
 pub type Micros = u64;
 
 /// A request, named by the host; never reused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
 /// An engine. It keeps its id when its process restarts.
--- a/tests/notes.rs
+++ b/tests/notes.rs
@@ -237,3 +237,16 @@
     assert_eq!(slow_again(0), (vec![], vec![]));
     assert_eq!(slow_again(9), (vec![(1, 1)], vec![(1, true)]), "answered at once");
 }
+
+#[test]
+fn what_waits_for_memory_or_behind_a_load_goes_elsewhere_once_and_is_not_given_up() {
+    let (mut c, e) = running(noted(vec![long()]));
+    assert_eq!(cancels(&step(&mut c, 1500 * MS, &[note(1, 0, e, 0.0)])), [(1, 0)]);
+    let e = sends(&step(&mut c, 1600 * MS, &[outcome(1, 0, e, Ending::Cancelled)]))[0].1;
+    // Danger: ten seconds of standing still, then a usual pace, must not read as a bad plan.
+    for s in 2..=11 {
+        let out = step(&mut c, s * S, &[note(1, 1, e, 0.0)]);
+        assert_eq!((cancels(&out), answers(&out)), (vec![], vec![]), "at {s} s");
+    }
+    assert_eq!(cancels(&step(&mut c, 12 * S, &[note(1, 1, e, 0.1)])), []);
+}
