--- a/tests/generated.rs
+++ b/tests/generated.rs
@@ -2,7 +2,7 @@
 //! arbitrary, there is no model of engines.
 
 mod common;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
 use hoptiller::*;
@@ -30,7 +30,7 @@
     Ending::Good,
 ];
 
-fn run(seed: u64) {
+fn run(seed: u64, notes: bool) {
     let window = 800 * MS;
     let mut classes =
         vec![class(Effect::Pure), class(Effect::Unsafe), class(Effect::Keyed { group: Group::Cell, window })];
@@ -39,6 +39,9 @@
     let mut cfg = settings(classes);
     let budget = RetryBudget { spare: 2.0, ratio: 0.2, look_back: 2 * S };
     cfg.rules.retry_budget = Some(budget);
+    if notes {
+        (cfg.limits.cancel, cfg.progress_every, cfg.most_grant) = (true, 300 * MS, 500.0);
+    }
     let mut c = Controller::new(cfg, seed).expect("usable settings");
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut pick = |n: u64| rng.next_u64() % n;
@@ -46,6 +49,7 @@
     let mut seen: BTreeMap<u64, Seen> = BTreeMap::new();
     let (mut taken, mut extras): (Vec<Micros>, Vec<Micros>) = (vec![], vec![]);
     let mut rests: BTreeMap<u64, Micros> = BTreeMap::new();
+    let (mut withdrawn, mut cancels) = (BTreeSet::new(), 0);
     let (mut next, mut now) = (0u64, S);
     while now < 20 * S {
         let mut events = Vec::new();
@@ -74,6 +78,8 @@
             let Some(&(hop, engine)) = r.out.first() else { continue };
             let ending = if r.valid_until <= now {
                 Ending::Late
+            } else if withdrawn.remove(id) {
+                Ending::Cancelled
             } else if pick(12) == 0 {
                 ENDINGS[pick(8) as usize]
             } else {
@@ -84,13 +90,27 @@
             if !matches!(ending, Ending::Full | Ending::NoConnection) && r.may_have_run.is_none() {
                 r.may_have_run = Some((u64::from(engine % 3), now));
             }
-            if let (Some(k), Ending::Late | Ending::Reset) = (r.key, ending) {
+            if let (Some(k), Ending::Late | Ending::Reset | Ending::Cancelled) = (r.key, ending) {
                 rests.insert(k, now + 500 * MS);
             }
             events.push(outcome(*id, hop, engine, ending));
         }
+        for (id, r) in seen.iter().filter(|_| notes) {
+            let Some(&(hop, engine)) = r.out.first().filter(|_| pick(20) == 0) else { continue };
+            let share = [0.0, 0.001, 0.3, 0.9, -1.0, 7.0, f64::NAN, f64::INFINITY][pick(8) as usize];
+            let progress =
+                [Progress::Done(share), Progress::Spills(share * 90.0), Progress::Waits][pick(3) as usize];
+            let (request, engine, hop) = (RequestId(*id), EngineId(engine), hop + (pick(9) == 0) as u32);
+            events.push(Event::Note { request, hop, engine, progress });
+        }
         for action in step(&mut c, now, &events) {
             match action {
+                Action::Cancel { request, hop } => {
+                    let r = &seen[&request.0];
+                    assert!(notes && r.out.iter().any(|o| o.0 == hop), "only what is out");
+                    assert!(withdrawn.insert(request.0), "once");
+                    cancels += 1;
+                }
                 Action::Send { request, engine, .. } => {
                     let e = &fleet[&engine.0];
                     assert_eq!(e.readiness, Readiness::Up, "rule 3");
@@ -141,12 +161,14 @@
     }
     assert!(next > 800 && seen.values().all(|r| r.over));
     assert!(!extras.is_empty(), "the sequence must hold retries");
+    assert_eq!(cancels > 20, notes, "the sequence must hold withdrawals: {cancels}");
 }
 
 #[test]
 fn generated_sequences_keep_the_rules() {
     for seed in 0..5 {
-        run(seed);
+        run(seed, false);
+        run(seed, true);
     }
 }
 
