--- a/tests/notes.rs
+++ b/tests/notes.rs
@@ -250,3 +250,9 @@
     }
     assert_eq!(cancels(&step(&mut c, 12 * S, &[note(1, 1, e, 0.1)])), []);
 }
+
+#[test]
+fn an_endless_interval_of_notes_does_no_harm() {
+    let (mut c, _) = running(Settings { progress_every: Micros::MAX, ..noted(vec![long()]) });
+    assert_eq!(cancels(&step(&mut c, 9 * S, &[])), [], "none is due, and nothing overflows");
+}
