--- a/src/control.rs
+++ b/src/control.rs
@@ -845,9 +845,7 @@
             }
             // Danger: a lost answer, or an engine that died unseen, holds the client until it leaves. Where
             // notes come, an attempt without any is gone: its request may be tried again.
-            for s in
-                e.out.iter_mut().filter(|s| gone.is_some_and(|after| now > s.noted.saturating_add(after)))
-            {
+            for s in e.out.iter_mut().filter(|s| gone.is_some_and(|after| now - s.noted > after)) {
                 withdraw(s, out);
             }
             let overdue = |s: &Sent| (now - s.at) as f64 > SILENT_TIMES * self.classes[s.class].run;
