HTTP/1.1 codec and connections, and the statement protocol's messages and tokens

Need: clients, router and engines talk over a statement API with polling; the parsers are the project's own. Change: crates/http with a decoder that is fed bytes, server and client connections on futures-lite and async-io; crates/statement with QueryResults, errors, client headers, discovery messages, and paging tokens whose path is authenticated and tells what was known of the statement.

--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,232 @@
+//! Owns server connections: accepting within a bound, reading requests within limits of size and time, and
+//! answering them one after the other.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future};
+
+use crate::codec::{Decoder, Event, Limits, ParseError, Side};
+use crate::io::{read_into, within, write_all};
+use crate::message::{Request, Response, StartLine};
+
+/// What a server does with a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Sizes.
+    pub limits: Limits,
+    /// Connections at once; what comes beyond is closed.
+    pub connections: usize,
+    /// Time from the first byte of a request to its last.
+    pub request_within: Duration,
+    /// Time that a connection may stand idle between requests.
+    pub idle: Duration,
+    /// Time that a write may stand without any progress.
+    pub stalled: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Config {
+            limits: Limits::default(),
+            connections: 32 << 10,
+            request_within: Duration::from_secs(10),
+            idle: Duration::from_secs(60),
+            stalled: Duration::from_secs(20),
+        }
+    }
+}
+
+/// What is done with a request. The last three exist for stand-ins that fail on purpose.
+#[derive(Debug)]
+pub enum Reply {
+    /// Answers.
+    Send(Response),
+    /// Closes without an answer.
+    Close,
+    /// Sends only so many bytes of an answer, and closes.
+    Cut(Response, usize),
+    /// Never answers, and holds the connection.
+    Never,
+}
+
+impl From<Response> for Reply {
+    fn from(r: Response) -> Reply {
+        Reply::Send(r)
+    }
+}
+
+/// A future on this thread.
+pub type Local<T> = Pin<Box<dyn Future<Output = T>>>;
+
+/// What answers requests.
+pub type Handler = Rc<dyn Fn(Request) -> Local<Reply>>;
+
+/// Accepts until the future is dropped; each connection's own future goes to `spawn`.
+pub async fn serve(
+    listener: Async<TcpListener>,
+    config: Config,
+    handler: Handler,
+    spawn: impl Fn(Local<()>),
+) -> io::Result<()> {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            // Out of descriptors, or the peer has gone again: what is open goes on.
+            Err(_) => {
+                Timer::after(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        if open.get() >= config.connections {
+            continue; // Dropped, and so closed.
+        }
+        let place = Place::take(&open);
+        let handler = handler.clone();
+        spawn(Box::pin(async move {
+            let _ = stream.get_ref().set_nodelay(true);
+            let _ = converse(stream, config, &handler).await;
+            drop(place);
+        }));
+    }
+}
+
+/// One of the connections at once; given back when dropped, also where its task is ended.
+struct Place(Rc<Cell<usize>>);
+
+impl Place {
+    fn take(open: &Rc<Cell<usize>>) -> Place {
+        open.set(open.get() + 1);
+        Place(open.clone())
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Binds a listener, with a queue long enough for a crowd that connects at once.
+pub fn bind(addr: std::net::SocketAddr) -> io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(addr)
+}
+
+async fn converse(mut s: Async<TcpStream>, config: Config, handler: &Handler) -> io::Result<()> {
+    let mut decoder = Decoder::new(Side::Requests, config.limits);
+    loop {
+        let (request, keep) = match next_request(&mut s, &mut decoder, &config).await? {
+            Ok(Some(next)) => next,
+            Ok(None) => return Ok(()),
+            Err(e) => {
+                let answer = Response::text(e.status(), &e.to_string());
+                write_all(&mut s, &answer.encode(true), config.stalled).await?;
+                return linger(s).await;
+            }
+        };
+        let head_only = request.method == crate::message::Method::Head;
+        match handler(request).await {
+            Reply::Send(response) => {
+                let mut bytes = response.encode(!keep);
+                if head_only {
+                    bytes.truncate(bytes.len() - response.body.len());
+                }
+                write_all(&mut s, &bytes, config.stalled).await?;
+                if !keep {
+                    return s.close().await;
+                }
+            }
+            Reply::Close => return Ok(()),
+            Reply::Cut(response, most) => {
+                let bytes = response.encode(false);
+                return write_all(&mut s, &bytes[..most.min(bytes.len())], config.stalled).await;
+            }
+            Reply::Never => return future::pending().await,
+        }
+    }
+}
+
+/// Closes gently after an error answer: a reset would take the answer away from a peer that still writes.
+async fn linger(mut s: Async<TcpStream>) -> io::Result<()> {
+    s.close().await?;
+    let mut decoder = Decoder::new(Side::Requests, Limits::default());
+    within(Duration::from_secs(1), async {
+        for _ in 0..64 {
+            if read_into(&mut s, &mut decoder).await? == 0 {
+                break;
+            }
+            decoder = Decoder::new(Side::Requests, Limits::default());
+        }
+        Ok(())
+    })
+    .await
+}
+
+type Next = Result<Option<(Request, bool)>, ParseError>;
+
+async fn next_request<S: AsyncRead + AsyncWrite + Unpin>(
+    s: &mut S,
+    decoder: &mut Decoder,
+    config: &Config,
+) -> io::Result<Next> {
+    decoder.shrink();
+    if !decoder.inside() {
+        let first = future::poll_once(read_into(s, decoder)).await;
+        let n = match first {
+            Some(n) => n?,
+            None => within(config.idle, read_into(s, decoder)).await?,
+        };
+        if n == 0 {
+            return Ok(Ok(None));
+        }
+    }
+    // What is whole already needs no timer. The part read stays in `request` when that look is given up.
+    let mut request = None;
+    if let Some(whole) = future::poll_once(read_request(s, decoder, &mut request)).await {
+        return whole;
+    }
+    within(config.request_within, read_request(s, decoder, &mut request)).await
+}
+
+async fn read_request<S: AsyncRead + AsyncWrite + Unpin>(
+    s: &mut S,
+    decoder: &mut Decoder,
+    request: &mut Option<(Request, bool)>,
+) -> io::Result<Next> {
+    loop {
+        match decoder.next() {
+            Err(e) => return Ok(Err(e)),
+            Ok(Some(Event::Head(head))) => {
+                let keep = head.keeps_alive();
+                if head.headers.lists("expect", "100-continue") {
+                    write_all(s, b"HTTP/1.1 100 Continue\r\n\r\n", Duration::from_secs(5)).await?;
+                }
+                if let StartLine::Request { method, target } = head.start {
+                    *request =
+                        Some((Request { method, target, headers: head.headers, body: Vec::new() }, keep));
+                }
+            }
+            Ok(Some(Event::Body(part))) => {
+                if let Some((r, _)) = request {
+                    r.body.extend_from_slice(&part);
+                }
+            }
+            Ok(Some(Event::End)) => return Ok(Ok(request.take())),
+            Ok(None) => {
+                if read_into(s, decoder).await? == 0 {
+                    return Ok(match decoder.finish() {
+                        Err(e) => Err(e),
+                        Ok(_) => Ok(None),
+                    });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/statement/src/error.rs
@@ -0,0 +1,90 @@
+//! Owns the names, codes and types of errors that a client can be answered with.
+
+use serde::{Deserialize, Serialize};
+
+/// Whose fault an error is, as clients sort them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub enum ErrorType {
+    /// The statement is wrong, or its user ended it.
+    UserError,
+    /// The service is at fault.
+    InternalError,
+    /// There is no room for it now.
+    InsufficientResources,
+    /// Something that the service depends on is at fault.
+    External,
+}
+
+/// The errors that the router answers with itself. Those of engines pass through with their own names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ErrorName {
+    /// Refused: it has not run, or running it again changes nothing. Trying again is harmless.
+    Refused,
+    /// Failed: it may have run, and must be looked up before it is sent again.
+    MayHaveRun,
+    /// Failed after rows were delivered: the result is cut short.
+    ResultCut,
+    /// The engine that ran it answered with an error of its own, or with no valid answer.
+    EngineFailed,
+    /// Its router was restarted; nothing was changed by it. Trying again is harmless.
+    RouterRestarted,
+    /// Ended at its client's wish.
+    UserCanceled,
+    /// Its client did not ask for its result any more.
+    Abandoned,
+}
+
+impl ErrorName {
+    /// All of them, for the documentation and its test.
+    pub const ALL: [ErrorName; 7] = [
+        ErrorName::Refused,
+        ErrorName::MayHaveRun,
+        ErrorName::ResultCut,
+        ErrorName::EngineFailed,
+        ErrorName::RouterRestarted,
+        ErrorName::UserCanceled,
+        ErrorName::Abandoned,
+    ];
+
+    /// The name as answered.
+    pub fn name(self) -> &'static str {
+        match self {
+            ErrorName::Refused => "HOPTILLER_REFUSED",
+            ErrorName::MayHaveRun => "HOPTILLER_MAY_HAVE_RUN",
+            ErrorName::ResultCut => "HOPTILLER_RESULT_CUT",
+            ErrorName::EngineFailed => "HOPTILLER_ENGINE_FAILED",
+            ErrorName::RouterRestarted => "HOPTILLER_ROUTER_RESTARTED",
+            ErrorName::UserCanceled => "USER_CANCELED",
+            ErrorName::Abandoned => "ABANDONED_QUERY",
+        }
+    }
+
+    /// The code as answered: the specification's ranges by type, ours from 0xF000 in each.
+    pub fn code(self) -> u32 {
+        match self {
+            ErrorName::UserCanceled => 3,
+            ErrorName::Abandoned => 0x0001_0006,
+            ErrorName::Refused => 0x0002_F001,
+            ErrorName::RouterRestarted => 0x0002_F002,
+            ErrorName::MayHaveRun => 0x0100_F001,
+            ErrorName::ResultCut => 0x0100_F002,
+            ErrorName::EngineFailed => 0x0100_F003,
+        }
+    }
+
+    /// The type as answered.
+    pub fn error_type(self) -> ErrorType {
+        match self {
+            ErrorName::UserCanceled => ErrorType::UserError,
+            ErrorName::Abandoned => ErrorType::InternalError,
+            ErrorName::Refused | ErrorName::RouterRestarted => ErrorType::InsufficientResources,
+            ErrorName::MayHaveRun | ErrorName::ResultCut | ErrorName::EngineFailed => ErrorType::External,
+        }
+    }
+
+    /// Whether the answer promises that trying again is harmless.
+    pub fn is_harmless(self) -> bool {
+        matches!(self, ErrorName::Refused | ErrorName::RouterRestarted)
+    }
+}
