--- /dev/null
+++ b/crates/audit/src/judge.rs
@@ -0,0 +1,370 @@
+//! Owns the verdict: each rule checked over all records, each break named with its evidence.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::record::{How, Record};
+
+/// What the rules are here.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Rules {
+    /// Classes by name.
+    pub classes: BTreeMap<String, Class>,
+    /// Nothing new to an engine later than this after its drain was told, in µs.
+    pub drain_grace: u64,
+    /// Attempts at a statement at most.
+    pub max_attempts: u32,
+    /// Attempts beyond the first: so many, and so many per statement taken, within a span in µs.
+    pub budget: Option<(f64, f64, u64)>,
+}
+
+/// What the rules say of a class.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Class {
+    /// It must never take effect twice.
+    pub never_twice: bool,
+    /// Same keys run one at a time, in the order taken.
+    pub in_order: bool,
+    /// Machine kinds that it may run on; all where empty.
+    pub kinds: BTreeSet<String>,
+    /// An answer within this is on time, in µs.
+    pub aim: u64,
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Break {
+    /// Which, 1 to 7.
+    pub rule: u8,
+    /// What was seen.
+    pub what: String,
+}
+
+/// How statements of a class fared.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Tally {
+    /// Submitted.
+    pub submitted: u64,
+    /// Taken.
+    pub taken: u64,
+    /// Not taken.
+    pub turned_away: u64,
+    /// Served.
+    pub served: u64,
+    /// Served after the aim.
+    pub late: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Left by their clients.
+    pub left: u64,
+    /// Held by a router that was killed, and not answered since.
+    pub lost: u64,
+    /// Attempts at engines.
+    pub attempts: u64,
+    /// Effects in the ledger.
+    pub postings: u64,
+}
+
+/// The verdict.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Verdict {
+    /// What was broken.
+    pub breaks: Vec<Break>,
+    /// How each class fared.
+    pub classes: BTreeMap<String, Tally>,
+}
+
+impl Verdict {
+    fn add(&mut self, rule: u8, what: String) {
+        self.breaks.push(Break { rule, what });
+    }
+
+    /// The rules that were broken.
+    pub fn rules_broken(&self) -> BTreeSet<u8> {
+        self.breaks.iter().map(|b| b.rule).collect()
+    }
+}
+
+#[derive(Default)]
+struct Request<'a> {
+    trace: &'a str,
+    class: &'a str,
+    router: &'a str,
+    key: Option<&'a str>,
+    at: u64,
+    gives_up: u64,
+    taken: Option<u64>,
+    finals: Vec<(u64, How)>,
+    first_rows: Option<u64>,
+    left: bool,
+    gave_up: bool,
+}
+
+/// Judges records, which must be in the order of time.
+pub fn judge(records: &[Record], rules: &Rules) -> Verdict {
+    let mut verdict = Verdict::default();
+    let requests = requests(records, &mut verdict);
+    one_answer(records, &requests, rules, &mut verdict);
+    no_effect_twice(records, &requests, rules, &mut verdict);
+    drains(records, rules, &mut verdict);
+    for record in records {
+        if let Record::Fell { at, engine } = record {
+            verdict.add(4, format!("engine {engine} was pushed over at {at}"));
+        }
+    }
+    order(records, &requests, rules, &mut verdict);
+    placement(records, rules, &mut verdict);
+    attempts(records, &requests, rules, &mut verdict);
+    verdict
+}
+
+fn requests<'a>(records: &'a [Record], verdict: &mut Verdict) -> BTreeMap<u64, Request<'a>> {
+    let mut all: BTreeMap<u64, Request> = BTreeMap::new();
+    for record in records {
+        match record {
+            Record::Submitted { at, request, trace, router, class, key, gives_up } => {
+                verdict.classes.entry(class.clone()).or_default().submitted += 1;
+                let (at, gives_up, key) = (*at, *gives_up, key.as_deref());
+                all.insert(
+                    *request,
+                    Request { trace, class, router, key, at, gives_up, ..Request::default() },
+                );
+            }
+            Record::Taken { at, request } => with(&mut all, *request, |r| r.taken = Some(*at)),
+            Record::Rows { at, request, .. } => with(&mut all, *request, |r| {
+                r.first_rows.get_or_insert(*at);
+                if !r.finals.is_empty() {
+                    r.finals.push((*at, How::Served));
+                }
+            }),
+            Record::Answered { at, request, how, .. } => {
+                with(&mut all, *request, |r| r.finals.push((*at, *how)))
+            }
+            Record::Left { request, .. } => with(&mut all, *request, |r| r.left = true),
+            Record::GaveUp { request, .. } => with(&mut all, *request, |r| r.gave_up = true),
+            Record::Changed { at, request } => {
+                verdict.add(1, format!("request {request}: another answer behind the final one, at {at}"));
+            }
+            _ => {}
+        }
+    }
+    all
+}
+
+fn with(all: &mut BTreeMap<u64, Request<'_>>, request: u64, change: impl FnOnce(&mut Request)) {
+    if let Some(r) = all.get_mut(&request) {
+        change(r);
+    }
+}
+
+/// Rule 1. A statement that its router held when it was killed is not owed; one that its client left neither.
+fn one_answer(records: &[Record], requests: &BTreeMap<u64, Request>, rules: &Rules, verdict: &mut Verdict) {
+    let mut kills: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    for record in records {
+        if let Record::Killed { at, router } = record {
+            kills.entry(router).or_default().push(*at);
+        }
+    }
+    for record in records {
+        if let Record::TurnedAway { request, .. } = record
+            && let Some(r) = requests.get(request)
+        {
+            verdict.classes.entry(r.class.to_owned()).or_default().turned_away += 1;
+        }
+    }
+    for (number, r) in requests {
+        let Some(taken) = r.taken else {
+            if !r.finals.is_empty() {
+                verdict.add(1, format!("request {number}: answered though it was never taken"));
+            }
+            continue;
+        };
+        let tally = verdict.classes.entry(r.class.to_owned()).or_default();
+        tally.taken += 1;
+        let until = r.finals.first().map_or(u64::MAX, |f| f.0);
+        let killed = kills.get(r.router).into_iter().flatten().any(|k| taken <= *k && *k <= until);
+        match r.finals.as_slice() {
+            [] if r.left => tally.left += 1,
+            [] if killed => tally.lost += 1,
+            [] => verdict.add(1, format!("request {number}: no final answer before its client gave up")),
+            [(at, how), rest @ ..] => {
+                match how {
+                    How::Served => tally.served += 1,
+                    How::Refused => tally.refused += 1,
+                    How::Failed => tally.failed += 1,
+                }
+                let answered = r.first_rows.map_or(*at, |rows| rows.min(*at));
+                let aim = rules.classes.get(r.class).map_or(u64::MAX, |c| c.aim);
+                tally.late += u64::from(*how == How::Served && answered - r.at.min(answered) > aim);
+                if !rest.is_empty() {
+                    verdict.add(1, format!("request {number}: {} final answers", r.finals.len()));
+                }
+                if answered > r.gives_up && !killed && !r.left {
+                    let late = answered - r.gives_up;
+                    verdict.add(1, format!("request {number}: answered {late} µs after its client gave up"));
+                }
+            }
+        }
+    }
+}
+
+/// The logical statement of a submission: traces are `name.N`, N counting its submissions.
+fn logical(trace: &str) -> &str {
+    trace.rsplit_once('.').map_or(trace, |(name, _)| name)
+}
+
+/// Rule 2, from ledger, answers, and what the answers promised.
+fn no_effect_twice(
+    records: &[Record],
+    requests: &BTreeMap<u64, Request>,
+    rules: &Rules,
+    verdict: &mut Verdict,
+) {
+    let mut postings: BTreeMap<&str, u64> = BTreeMap::new();
+    for record in records {
+        if let Record::Posted { trace, .. } = record {
+            *postings.entry(trace).or_default() += 1;
+        }
+    }
+    let never = |class: &str| rules.classes.get(class).is_some_and(|c| c.never_twice);
+    let mut by_logical: BTreeMap<&str, u64> = BTreeMap::new();
+    for (trace, n) in &postings {
+        *by_logical.entry(logical(trace)).or_default() += n;
+    }
+    for (name, n) in &by_logical {
+        if *n > 1 {
+            verdict.add(2, format!("{name}: {n} effects in the ledger"));
+        }
+    }
+    for (number, r) in requests.iter().filter(|(_, r)| never(r.class)) {
+        let n = postings.get(r.trace).copied().unwrap_or(0);
+        verdict.classes.entry(r.class.to_owned()).or_default().postings += n;
+        match r.finals.first() {
+            Some((_, How::Served)) if n == 0 => {
+                verdict.add(2, format!("request {number}: served, and no effect in the ledger"));
+            }
+            Some((_, How::Refused)) if n > 0 => {
+                verdict.add(
+                    2,
+                    format!("request {number}: refused as harmless, and its effect is in the ledger"),
+                );
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Rule 3.
+fn drains(records: &[Record], rules: &Rules, verdict: &mut Verdict) {
+    let mut told: BTreeMap<(&str, &str), u64> = BTreeMap::new();
+    for record in records {
+        match record {
+            Record::ToldDrain { at, engine, router } => {
+                told.entry((engine, router)).or_insert(*at);
+            }
+            Record::ToldUp { engine, router, .. } => {
+                told.remove(&(engine.as_str(), router.as_str()));
+            }
+            Record::Started { engine, .. } => told.retain(|(e, _), _| e != engine),
+            Record::Killed { router, .. } => told.retain(|(_, r), _| r != router),
+            Record::Sent { at, engine, router, trace, .. } => {
+                if let Some(since) = told.get(&(engine.as_str(), router.as_str()))
+                    && *at > since + rules.drain_grace
+                {
+                    let late = at - since;
+                    verdict.add(
+                        3,
+                        format!("{trace}: sent by {router} to {engine} {late} µs after its drain was told"),
+                    );
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Rule 5.
+fn order(records: &[Record], requests: &BTreeMap<u64, Request>, rules: &Rules, verdict: &mut Verdict) {
+    let in_order = |class: &str| rules.classes.get(class).is_some_and(|c| c.in_order);
+    // By trace: key, router and the moment taken.
+    let keyed: BTreeMap<&str, (&str, &str, u64)> = requests
+        .values()
+        .filter(|r| in_order(r.class))
+        .filter_map(|r| Some((r.trace, (r.key?, r.router, r.taken?))))
+        .collect();
+    let mut running: BTreeMap<(&str, &str), BTreeSet<&str>> = BTreeMap::new();
+    let mut newest: BTreeMap<(&str, &str), (u64, &str)> = BTreeMap::new();
+    for record in records {
+        match record {
+            Record::Sent { trace, .. } => {
+                let Some((key, router, taken)) = keyed.get(trace.as_str()) else { continue };
+                let line = running.entry((key, router)).or_default();
+                if let Some(other) = line.iter().find(|o| **o != trace.as_str()) {
+                    verdict.add(5, format!("{trace}: sent while {other} of the same key ran"));
+                }
+                line.insert(trace);
+                let last = newest.entry((key, router)).or_insert((*taken, trace));
+                if *taken < last.0 {
+                    verdict.add(5, format!("{trace}: sent behind {}, which was taken after it", last.1));
+                }
+                *last = (*last).max((*taken, trace));
+            }
+            Record::Done { trace, .. } => {
+                if let Some((key, router, _)) = keyed.get(trace.as_str()) {
+                    running.entry((key, router)).or_default().remove(trace.as_str());
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Rule 6.
+fn placement(records: &[Record], rules: &Rules, verdict: &mut Verdict) {
+    for record in records {
+        if let Record::Sent { engine, kind, trace, class, .. } = record {
+            verdict.classes.entry(class.clone()).or_default().attempts += 1;
+            let kinds = rules.classes.get(class).map(|c| &c.kinds);
+            if kinds.is_some_and(|k| !k.is_empty() && !k.contains(kind)) {
+                verdict.add(6, format!("{trace}: {class} sent to {engine}, a {kind}"));
+            }
+        }
+    }
+}
+
+/// Rule 7.
+fn attempts(records: &[Record], requests: &BTreeMap<u64, Request>, rules: &Rules, verdict: &mut Verdict) {
+    let mut each: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut extra: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    for record in records {
+        if let Record::Sent { at, router, trace, .. } = record {
+            let n = each.entry(trace).or_default();
+            *n += 1;
+            if *n > 1 {
+                extra.entry(router).or_default().push(*at);
+            }
+        }
+    }
+    for (trace, n) in each.iter().filter(|(_, n)| **n > rules.max_attempts) {
+        verdict.add(7, format!("{trace}: {n} attempts"));
+    }
+    let Some((spare, ratio, span)) = rules.budget else { return };
+    for (router, times) in &extra {
+        for (at, end) in times.iter().enumerate() {
+            let from = end.saturating_sub(span);
+            let n = times[..=at].iter().filter(|t| **t > from).count() as f64;
+            let taken = requests
+                .values()
+                .filter(|r| r.router == *router && r.taken.is_some_and(|t| t > from && t <= *end))
+                .count() as f64;
+            if n > spare + ratio * taken {
+                let what =
+                    format!("{router}: {n} further attempts up to {end}, with {taken} taken in that span");
+                verdict.add(7, what);
+            }
+        }
+    }
+}
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -1,1 +1,8 @@
+//! The seven rules, judged from records of what passed on the sockets: what clients sent and were answered,
+//! what reached engines, what discovery and engines told routers. Nothing here asks a router.
 
+pub mod judge;
+pub mod record;
+
+pub use judge::{Break, Class, Rules, Tally, Verdict, judge};
+pub use record::{How, Record, Recorder, now, read_dir};
--- /dev/null
+++ b/crates/audit/src/record.rs
@@ -0,0 +1,180 @@
+//! Owns the records: one JSON object a line, each written by the party that saw it.
+
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Write};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+/// How a client was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum How {
+    /// All rows came.
+    Served,
+    /// Refused: trying again is harmless.
+    Refused,
+    /// Failed: nothing promised.
+    Failed,
+}
+
+/// Something that was seen. Times are µs since 1970. `request` is a client's own number of one submission;
+/// `trace` names what is to be done, and stays the same when a client submits it again.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum Record {
+    /// A client submitted a statement, and will wait until `gives_up`.
+    Submitted {
+        at: u64,
+        request: u64,
+        trace: String,
+        router: String,
+        class: String,
+        key: Option<String>,
+        gives_up: u64,
+    },
+    /// It was taken.
+    Taken { at: u64, request: u64 },
+    /// It was not taken.
+    TurnedAway { at: u64, request: u64, status: u16 },
+    /// The client can't know whether it was taken: the connection broke.
+    Unknown { at: u64, request: u64 },
+    /// Rows came.
+    Rows { at: u64, request: u64, rows: u64 },
+    /// The final answer came.
+    Answered { at: u64, request: u64, how: How, error: Option<String> },
+    /// Something came behind the final answer that was not the same.
+    Changed { at: u64, request: u64 },
+    /// The client gave up waiting, without a final answer.
+    GaveUp { at: u64, request: u64 },
+    /// The client left on purpose, or ended the statement.
+    Left { at: u64, request: u64 },
+
+    /// An attempt reached an engine.
+    Sent { at: u64, engine: String, kind: String, router: String, trace: String, class: String, hop: u32 },
+    /// The engine is done with it, however it ended.
+    Done { at: u64, engine: String, trace: String },
+    /// An effect was written to the ledger.
+    Posted { at: u64, engine: String, trace: String },
+    /// An engine's process began.
+    Started { at: u64, engine: String, cold: bool },
+    /// An engine was pushed over.
+    Fell { at: u64, engine: String },
+    /// A router was told that an engine drains or is gone.
+    ToldDrain { at: u64, engine: String, router: String },
+    /// A router was told that an engine is up.
+    ToldUp { at: u64, engine: String, router: String },
+
+    /// A router's process was ended at once; what it held then is not owed.
+    Killed { at: u64, router: String },
+}
+
+impl Record {
+    /// When it was seen.
+    pub fn at(&self) -> u64 {
+        match self {
+            Record::Submitted { at, .. }
+            | Record::Taken { at, .. }
+            | Record::TurnedAway { at, .. }
+            | Record::Unknown { at, .. }
+            | Record::Rows { at, .. }
+            | Record::Answered { at, .. }
+            | Record::Changed { at, .. }
+            | Record::GaveUp { at, .. }
+            | Record::Left { at, .. }
+            | Record::Sent { at, .. }
+            | Record::Done { at, .. }
+            | Record::Posted { at, .. }
+            | Record::Started { at, .. }
+            | Record::Fell { at, .. }
+            | Record::ToldDrain { at, .. }
+            | Record::ToldUp { at, .. }
+            | Record::Killed { at, .. } => *at,
+        }
+    }
+}
+
+/// Now, in µs since 1970.
+pub fn now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
+}
+
+/// Where records go: memory, and a file where one is given. Shared by all who write to the same.
+#[derive(Clone, Default)]
+pub struct Recorder(Arc<Mutex<Sink>>);
+
+#[derive(Default)]
+struct Sink {
+    all: Vec<Record>,
+    file: Option<File>,
+    error: Option<io::Error>,
+}
+
+impl Recorder {
+    /// Into memory and a file.
+    pub fn to_file(path: &Path) -> io::Result<Recorder> {
+        let file = File::options().create(true).append(true).open(path)?;
+        Ok(Recorder(Arc::new(Mutex::new(Sink { file: Some(file), ..Sink::default() }))))
+    }
+
+    /// Writes one. A full disk is told by [`Recorder::all`], not by a panic in whoever writes.
+    pub fn write(&self, record: Record) {
+        let Ok(mut sink) = self.0.lock() else { return };
+        if let Some(file) = &mut sink.file {
+            let mut line = serde_json::to_vec(&record).unwrap_or_default();
+            line.push(b'\n');
+            if let Err(e) = file.write_all(&line) {
+                sink.error.get_or_insert(e);
+            }
+        }
+        sink.all.push(record);
+    }
+
+    /// All of them so far, or why some are not in the file.
+    pub fn all(&self) -> io::Result<Vec<Record>> {
+        let Ok(mut sink) = self.0.lock() else { return Err(io::Error::other("a writer panicked")) };
+        match sink.error.take() {
+            Some(e) => Err(e),
+            None => Ok(sink.all.clone()),
+        }
+    }
+}
+
+/// A line of a record file that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BadLine {
+    /// File and line.
+    pub place: String,
+    /// Why.
+    pub why: String,
+}
+
+/// Reads all `*.jsonl` of a folder. Lines that can't be read are told, and the rest is used.
+pub fn read_dir(dir: &Path) -> io::Result<(Vec<Record>, Vec<BadLine>)> {
+    let mut paths: Vec<_> = std::fs::read_dir(dir)?
+        .filter_map(|e| e.ok().map(|e| e.path()))
+        .filter(|p| p.extension().is_some_and(|e| e == "jsonl"))
+        .collect();
+    paths.sort();
+    let (mut records, mut bad) = (Vec::new(), Vec::new());
+    for path in paths {
+        for (at, line) in BufReader::new(File::open(&path)?).split(b'\n').enumerate() {
+            let line = line?;
+            if line.iter().all(u8::is_ascii_whitespace) {
+                continue;
+            }
+            match serde_json::from_slice(&line) {
+                Ok(record) => records.push(record),
+                Err(e) => {
+                    let place = format!("{}:{}", path.display(), at + 1);
+                    bad.push(BadLine { place, why: e.to_string() });
+                }
+            }
+        }
+    }
+    records.sort_by_key(Record::at);
+    Ok((records, bad))
+}
--- /dev/null
+++ b/crates/audit/tests/planted.rs
@@ -0,0 +1,190 @@
+//! For each rule, a good record, and the same with that break planted: caught and named.
+
+use hoptiller_audit::{Class, How, Record, Rules, judge, read_dir};
+
+fn rules() -> Rules {
+    let kinds = ["a".to_owned()].into();
+    let classes = [
+        ("lookup".to_owned(), Class { aim: 1_000, ..Class::default() }),
+        ("report".to_owned(), Class { kinds, aim: 1_000, ..Class::default() }),
+        ("load".to_owned(), Class { never_twice: true, in_order: true, aim: 1_000, ..Class::default() }),
+    ];
+    Rules { classes: classes.into(), drain_grace: 100, max_attempts: 2, budget: Some((1.0, 0.0, 1_000)) }
+}
+
+fn submitted(at: u64, request: u64, trace: &str, class: &str) -> Record {
+    let (router, key) = ("r".to_owned(), Some("k".to_owned()));
+    Record::Submitted {
+        at,
+        request,
+        trace: trace.into(),
+        router,
+        class: class.into(),
+        key,
+        gives_up: at + 5_000,
+    }
+}
+
+fn sent(at: u64, trace: &str, class: &str, kind: &str) -> Record {
+    let (engine, router) = ("e".to_owned(), "r".to_owned());
+    Record::Sent { at, engine, kind: kind.into(), router, trace: trace.into(), class: class.into(), hop: 0 }
+}
+
+fn answered(at: u64, request: u64, how: How) -> Record {
+    Record::Answered { at, request, how, error: None }
+}
+
+fn posted(at: u64, trace: &str) -> Record {
+    Record::Posted { at, engine: "e".into(), trace: trace.into() }
+}
+
+fn done(at: u64, trace: &str) -> Record {
+    Record::Done { at, engine: "e".into(), trace: trace.into() }
+}
+
+/// A load that is refused once, submitted again and served; a lookup that moves on once; a report.
+fn good() -> Vec<Record> {
+    vec![
+        submitted(10, 1, "a.0", "load"),
+        Record::Taken { at: 11, request: 1 },
+        answered(20, 1, How::Refused),
+        submitted(30, 2, "a.1", "load"),
+        Record::Taken { at: 31, request: 2 },
+        sent(40, "a.1", "load", "b"),
+        posted(50, "a.1"),
+        done(50, "a.1"),
+        answered(60, 2, How::Served),
+        submitted(100, 3, "b.0", "lookup"),
+        Record::Taken { at: 101, request: 3 },
+        sent(110, "b.0", "lookup", "b"),
+        Record::ToldDrain { at: 115, engine: "e".into(), router: "r".into() },
+        sent(120, "b.0", "lookup", "b"),
+        answered(130, 3, How::Served),
+        submitted(140, 4, "c.0", "report"),
+        Record::Taken { at: 141, request: 4 },
+        sent(150, "c.0", "report", "a"),
+        answered(160, 4, How::Failed),
+    ]
+}
+
+/// The rules broken by the good record with more in it.
+fn with(more: &[Record]) -> Vec<u8> {
+    let mut all = good();
+    all.extend_from_slice(more);
+    all.sort_by_key(Record::at);
+    judge(&all, &rules()).rules_broken().into_iter().collect()
+}
+
+fn without(gone: &Record) -> Vec<u8> {
+    let all: Vec<Record> = good().into_iter().filter(|r| r != gone).collect();
+    assert_ne!(all.len(), good().len());
+    judge(&all, &rules()).rules_broken().into_iter().collect()
+}
+
+#[test]
+fn a_good_record_breaks_nothing_and_is_counted() {
+    let verdict = judge(&good(), &rules());
+    assert_eq!(verdict.breaks, vec![]);
+    let load = &verdict.classes["load"];
+    assert_eq!((load.submitted, load.taken, load.served, load.refused, load.postings), (2, 2, 1, 1, 1));
+    assert_eq!((verdict.classes["lookup"].attempts, verdict.classes["report"].failed), (2, 1));
+}
+
+#[test]
+fn rule_1_a_missing_second_late_or_changed_answer() {
+    assert_eq!(without(&answered(130, 3, How::Served)), [1]);
+    assert_eq!(with(&[answered(135, 3, How::Failed)]), [1]);
+    assert_eq!(with(&[Record::Rows { at: 135, request: 3, rows: 1 }]), [1]);
+    assert_eq!(with(&[Record::Changed { at: 170, request: 3 }]), [1]);
+    let late = [
+        submitted(200, 9, "d.0", "lookup"),
+        Record::Taken { at: 201, request: 9 },
+        answered(5_300, 9, How::Served),
+    ];
+    assert_eq!(with(&late), [1]);
+    assert_eq!(with(&[submitted(200, 9, "d.0", "lookup"), answered(210, 9, How::Served)]), [1]);
+}
+
+#[test]
+fn rule_1_owes_nothing_for_a_killed_router_or_a_client_that_left() {
+    let open = [submitted(200, 9, "d.0", "lookup"), Record::Taken { at: 201, request: 9 }];
+    assert_eq!(with(&open), [1]);
+    let killed = [open.as_slice(), &[Record::Killed { at: 210, router: "r".into() }]].concat();
+    assert_eq!(with(&killed), [] as [u8; 0]);
+    let other = [open.as_slice(), &[Record::Killed { at: 210, router: "q".into() }]].concat();
+    assert_eq!(with(&other), [1]);
+    let left = [open.as_slice(), &[Record::Left { at: 210, request: 9 }]].concat();
+    assert_eq!(with(&left), [] as [u8; 0]);
+}
+
+#[test]
+fn rule_2_a_second_effect_an_empty_promise_and_a_missing_effect() {
+    assert_eq!(with(&[posted(55, "a.1")]), [2]);
+    assert_eq!(with(&[posted(25, "a.0")]), [2]);
+    assert_eq!(without(&posted(50, "a.1")), [2]);
+}
+
+#[test]
+fn rule_3_a_send_past_the_grace_of_a_drain() {
+    let late = |at| [sent(at, "e.0", "lookup", "b")];
+    assert_eq!(with(&late(215)), [] as [u8; 0]);
+    assert_eq!(with(&late(216)), [3]);
+    let up = Record::ToldUp { at: 200, engine: "e".into(), router: "r".into() };
+    assert_eq!(with(&[up, late(216)[0].clone()]), [] as [u8; 0]);
+    let started = Record::Started { at: 200, engine: "e".into(), cold: true };
+    assert_eq!(with(&[started, late(216)[0].clone()]), [] as [u8; 0]);
+}
+
+#[test]
+fn rule_4_an_engine_that_fell() {
+    assert_eq!(with(&[Record::Fell { at: 300, engine: "e".into() }]), [4]);
+}
+
+#[test]
+fn rule_5_same_keys_together_or_out_of_turn() {
+    let pair = [
+        submitted(200, 8, "f.0", "load"),
+        Record::Taken { at: 201, request: 8 },
+        submitted(202, 9, "g.0", "load"),
+        Record::Taken { at: 203, request: 9 },
+        answered(290, 8, How::Failed),
+        answered(291, 9, How::Failed),
+    ];
+    let run = |trace: &str, from, to| vec![sent(from, trace, "load", "b"), done(to, trace)];
+    // Past the grace of the drain that the good record tells.
+    let up = vec![Record::ToldUp { at: 204, engine: "e".into(), router: "r".into() }];
+    let order = |a: Vec<Record>, b: Vec<Record>| with(&[pair.to_vec(), up.clone(), a, b].concat());
+    assert_eq!(order(run("f.0", 210, 220), run("g.0", 230, 240)), [] as [u8; 0]);
+    assert_eq!(order(run("f.0", 230, 240), run("g.0", 210, 220)), [5]);
+    assert_eq!(order(run("f.0", 210, 235), run("g.0", 230, 240)), [5]);
+}
+
+#[test]
+fn rule_6_a_report_on_another_kind() {
+    assert_eq!(with(&[sent(152, "z.0", "report", "b")]), [6]);
+}
+
+#[test]
+fn rule_7_too_many_attempts_at_one_and_by_a_router() {
+    let far = |at: u64, trace: &str| sent(at, trace, "lookup", "b");
+    let up = Record::ToldUp { at: 1_500, engine: "e".into(), router: "r".into() };
+    let three = [up.clone(), far(2_000, "h.0"), far(4_000, "h.0"), far(6_000, "h.0")];
+    assert_eq!(with(&three), [7]);
+    let many = [up, far(2_000, "h.0"), far(2_001, "i.0"), far(2_010, "h.0"), far(2_020, "i.0")];
+    assert_eq!(with(&many), [7]);
+}
+
+#[test]
+fn damaged_lines_are_told_with_their_place() {
+    let dir = std::env::temp_dir().join(format!("hoptiller-audit-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let good = serde_json::to_string(&answered(5, 1, How::Served)).expect("text");
+    let bytes =
+        [good.as_bytes(), b"\n{\"what\":\"fel\n\xff\xfe\n", &good.as_bytes()[..good.len() - 3]].concat();
+    std::fs::write(dir.join("a.jsonl"), bytes).expect("written");
+    let (records, bad) = read_dir(&dir).expect("read");
+    std::fs::remove_dir_all(&dir).expect("removed");
+    assert_eq!(records.len(), 1);
+    assert_eq!(bad.len(), 3);
+    assert!(bad[0].place.ends_with("a.jsonl:2"), "{bad:?}");
+}
--- /dev/null
+++ b/crates/router/src/core/course.rs
@@ -0,0 +1,57 @@
+//! Owns what someone woken at night asks first: the course of one statement.
+
+use hoptiller::{Ending, EngineId};
+
+/// The course of a statement; times are in ms since it came.
+#[derive(Clone, Debug)]
+pub struct Course {
+    /// Its class, by number.
+    pub class: usize,
+    /// Where it stands.
+    pub state: &'static str,
+    /// Why it was refused or failed.
+    pub why: String,
+    /// Up to its end, or to now.
+    pub elapsed_ms: u64,
+    /// How long its client waits.
+    pub patience_ms: u64,
+    /// Before its first attempt.
+    pub waited_ms: u64,
+    /// Answers given out.
+    pub answers: u64,
+    /// Its attempts.
+    pub attempts: Vec<CourseAttempt>,
+}
+
+/// One attempt.
+#[derive(Clone, Debug)]
+pub struct CourseAttempt {
+    /// Which, from 0.
+    pub hop: u32,
+    /// Where.
+    pub engine: EngineId,
+    /// When it was sent.
+    pub sent_ms: u64,
+    /// When its first page came.
+    pub first_page_ms: Option<u64>,
+    /// When it ended.
+    pub ended_ms: Option<u64>,
+    /// How.
+    pub ending: Option<Ending>,
+    /// What was seen.
+    pub why: String,
+}
+
+/// A word for an ending.
+pub fn ending_word(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Good => "served",
+        Ending::Bad => "engine error; it may have run",
+        Ending::Full => "turned away unseen; it did not run",
+        Ending::Late => "no answer in time; it may have run",
+        Ending::NoConnection => "no connection; it did not run",
+        Ending::Reset => "connection broken; it may have run",
+        Ending::Cancelled => "withdrawn; it may have run",
+        Ending::Moot => "never sent",
+    }
+}
--- /dev/null
+++ b/crates/router/src/engines/attempt.rs
@@ -0,0 +1,307 @@
+//! Owns one attempt at an engine: the statement is posted once, and its answers are polled for. How it ended is
+//! told as what it proves: that it never ran, or that it may have.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::future;
+use hoptiller::{Ending, Progress};
+use hoptiller_http::client::ClientError;
+use hoptiller_http::{Method, Request, Response};
+use hoptiller_statement::{ErrorType, QueryResults, STATEMENT, extra};
+use serde_json::value::RawValue;
+
+use super::{Control, Engines, Report, load_of_headers};
+use crate::core::{Attempt, Ended, Failure, Page};
+
+/// Polls in a row that may fail before the engine counts as gone. A poll asks for the same answer again: that
+/// repeats nothing.
+const POLLS: u32 = 3;
+/// Pause after a poll that the engine could not answer now.
+const POLL_PAUSE: Duration = Duration::from_millis(100);
+/// Time for the engine to hear that a result is not wanted.
+const FAREWELL: Duration = Duration::from_secs(1);
+
+enum Step {
+    Answered(Result<Response, ClientError>),
+    Late,
+    Told(Control),
+}
+
+/// Why an attempt stops.
+enum Stop {
+    Ended(Ended),
+    Released,
+}
+
+type Outcome<T> = Result<T, Stop>;
+
+struct Run<'a> {
+    engines: &'a Engines,
+    a: &'a Attempt,
+    addr: SocketAddr,
+    control: Receiver<Control>,
+    report: &'a dyn Report,
+    /// Where to ask next.
+    next: Option<String>,
+    columns: Option<Rc<RawValue>>,
+    /// A page has been passed on: no time limit any more, the client's reading sets the pace.
+    flowing: bool,
+}
+
+pub(super) async fn run(engines: &Engines, a: &Attempt, control: Receiver<Control>, report: &dyn Report) {
+    let addr = engines.places.borrow().get(&a.engine).map(|p| p.1);
+    let Some(addr) = addr else {
+        let why = "the engine is not listed any more".to_owned();
+        return report.ended(a.id, a.hop, Ended { ending: Ending::Moot, why, report: None });
+    };
+    let (next, columns, flowing) = (None, None, false);
+    let mut run = Run { engines, a, addr, control, report, next, columns, flowing };
+    match run.all().await {
+        Ok(()) => {}
+        Err(Stop::Ended(ended)) => {
+            if matches!(ended.ending, Ending::Reset | Ending::NoConnection) {
+                engines.pool.forget(a.engine);
+            }
+            if ended.ending == Ending::Cancelled {
+                run.farewell().await;
+            }
+            report.ended(a.id, a.hop, ended);
+        }
+        Err(Stop::Released) => run.farewell().await,
+    }
+}
+
+fn stop<T>(ending: Ending, why: impl Into<String>) -> Outcome<T> {
+    Err(Stop::Ended(Ended { ending, why: why.into(), report: None }))
+}
+
+impl Run<'_> {
+    async fn all(&mut self) -> Outcome<()> {
+        let mut answer = self.post().await?;
+        while !self.take(&answer).await? {
+            answer = self.poll().await?;
+        }
+        Ok(())
+    }
+
+    /// The one send.
+    async fn post(&mut self) -> Outcome<Response> {
+        let (a, manner) = (self.a, &self.engines.manner);
+        let mut request = Request::new(Method::Post, STATEMENT);
+        for (name, value) in &a.work.fields {
+            request.headers.push(name, value);
+        }
+        request.headers.push(extra::ROUTER, &manner.router);
+        request.headers.push(extra::STATEMENT_ID, &format!("{}/{}", manner.router, a.id));
+        request.headers.push(extra::CLASS, manner.classes.get(a.class).map_or("", String::as_str));
+        let mut terms = vec![("hop", f64::from(a.hop))];
+        terms.extend(a.priority.map(|p| ("priority", f64::from(p))));
+        terms.extend((a.grant > 0.0).then_some(("grant_mb", a.grant)));
+        request.headers.push(extra::TERMS, &extra::text(&terms));
+        request.body = a.work.text.clone().into_bytes();
+        // The whole patience: the attempt's own limit ends it earlier.
+        let within = Duration::from_micros(self.a.until.saturating_sub(self.report.now()) + 1_000_000);
+        let answer = match self.step(&request, within).await {
+            Step::Answered(Ok(answer)) => answer,
+            Step::Answered(Err(ClientError::Connect(e))) => {
+                return stop(Ending::NoConnection, format!("no connection: {e}"));
+            }
+            Step::Answered(Err(ClientError::TimedOut)) | Step::Late => {
+                return stop(Ending::Late, "the engine did not answer in time");
+            }
+            Step::Answered(Err(e)) => return stop(Ending::Reset, e.to_string()),
+            Step::Told(control) => return self.told(control),
+        };
+        match answer.status.0 {
+            200 => Ok(answer),
+            // The specification: not accepted, the client is to try again.
+            status @ (429 | 503) => Err(Stop::Ended(Ended {
+                ending: Ending::Full,
+                why: format!("the engine turned it away unseen ({status})"),
+                report: load_of_headers(&answer),
+            })),
+            status => stop(Ending::Bad, format!("the engine answered with status {status}")),
+        }
+    }
+
+    /// Asks for the next answer, again where that fails: it is the same answer.
+    async fn poll(&mut self) -> Outcome<Response> {
+        let mut failed = 0;
+        loop {
+            let Some(target) = self.next.clone() else { return stop(Ending::Bad, "no next answer") };
+            let request = Request::new(Method::Get, target).with(extra::ROUTER, &self.engines.manner.router);
+            let why = match self.step(&request, self.engines.manner.poll_within).await {
+                Step::Answered(Ok(answer)) => match answer.status.0 {
+                    200 => return Ok(answer),
+                    404 | 410 => {
+                        return stop(Ending::Reset, "the engine does not know the statement any more");
+                    }
+                    status @ (429 | 502..=504) => format!("the engine answered a poll with status {status}"),
+                    status => {
+                        return stop(Ending::Bad, format!("the engine answered a poll with status {status}"));
+                    }
+                },
+                Step::Answered(Err(ClientError::Connect(e))) => {
+                    return stop(Ending::Reset, format!("the engine is gone: {e}"));
+                }
+                Step::Answered(Err(ClientError::Parse(e))) => {
+                    return stop(Ending::Bad, format!("the engine's answer is no HTTP: {e}"));
+                }
+                Step::Answered(Err(e)) => e.to_string(),
+                Step::Late => return stop(Ending::Late, "the engine did not finish in time"),
+                Step::Told(control) => return self.told(control),
+            };
+            failed += 1;
+            if failed == POLLS {
+                return stop(Ending::Reset, why);
+            }
+            Timer::after(POLL_PAUSE).await;
+        }
+    }
+
+    /// One exchange, ended early by the attempt's time or by what it is told.
+    async fn step(&self, request: &Request, within: Duration) -> Step {
+        let manner = &self.engines.manner;
+        let pool = &self.engines.pool;
+        let exchange = async {
+            Step::Answered(
+                pool.exchange(self.a.engine, self.addr, request, manner.connect_within, within).await,
+            )
+        };
+        let time = async {
+            if self.flowing {
+                return future::pending().await;
+            }
+            let left = self.a.until.saturating_sub(self.report.now());
+            Timer::after(Duration::from_micros(left)).await;
+            Step::Late
+        };
+        let told = async {
+            loop {
+                match self.control.recv().await {
+                    Ok(Control::Fetch) => {} // Only a page that waits has a use for it.
+                    Ok(control) => return Step::Told(control),
+                    Err(_) => return Step::Told(Control::Release),
+                }
+            }
+        };
+        future::or(exchange, future::or(told, time)).await
+    }
+
+    fn told<T>(&self, control: Control) -> Outcome<T> {
+        match control {
+            Control::Withdraw => stop(Ending::Cancelled, "withdrawn"),
+            Control::Release | Control::Fetch => Err(Stop::Released),
+        }
+    }
+
+    /// Takes an answer in; true after the last one.
+    async fn take(&mut self, answer: &Response) -> Outcome<bool> {
+        let results: QueryResults = match serde_json::from_slice(&answer.body) {
+            Ok(results) => results,
+            Err(e) => return stop(Ending::Bad, format!("the engine's answer is no QueryResults: {e}")),
+        };
+        let report = load_of_headers(answer);
+        if let Some(error) = results.error {
+            let why = format!("{}: {}", error.error_name, error.message);
+            if error.error_type == ErrorType::UserError {
+                let failure =
+                    Failure { message: error.message, code: error.error_code, name: error.error_name };
+                self.report.wrong(self.a.id, self.a.hop, failure);
+                return Ok(true);
+            }
+            return Err(Stop::Ended(Ended { ending: Ending::Bad, why, report }));
+        }
+        self.next = match results.next_uri.as_deref().map(|uri| self.path_of(uri)) {
+            None => None,
+            Some(Some(path)) => Some(path),
+            Some(None) => return stop(Ending::Bad, "the engine's nextUri points elsewhere"),
+        };
+        if let Some(note) = answer.headers.get(extra::NOTE) {
+            for (name, value) in extra::numbers(note) {
+                self.tell(name, value);
+            }
+        }
+        let rows = results.has_rows();
+        if let Some(columns) = results.columns {
+            self.columns = Some(columns.into());
+        }
+        let last = self.next.is_none();
+        if !last && !rows {
+            return Ok(false);
+        }
+        self.flowing = true;
+        let fields = answer.headers.iter().filter(|(name, _)| is_session_field(name));
+        let page = Page {
+            columns: self.columns.clone(),
+            rows: results.data.map(Rc::from),
+            fields: fields.map(|(n, v)| (n.to_owned(), v.to_owned())).collect(),
+            update: results.update_type.map(|kind| (kind, results.update_count)),
+            last,
+            report,
+            work: work_of(answer),
+        };
+        self.report.page(self.a.id, self.a.hop, page);
+        if last {
+            return Ok(true);
+        }
+        loop {
+            match self.control.recv().await {
+                Ok(Control::Fetch) => return Ok(false),
+                Ok(control) => return self.told(control),
+                Err(_) => return Err(Stop::Released),
+            }
+        }
+    }
+
+    fn tell(&self, name: &str, value: f64) {
+        let progress = match name {
+            "done" if (0.0..=1.0).contains(&value) => Progress::Done(value),
+            "spills" if value > 0.0 => Progress::Spills(value),
+            "waits" => Progress::Waits,
+            _ => return,
+        };
+        self.report.note(self.a.id, self.a.hop, progress);
+    }
+
+    /// The path of a URI at this engine; none for one elsewhere: an engine must not send the router about.
+    fn path_of(&self, uri: &str) -> Option<String> {
+        let path = match uri.strip_prefix("http://") {
+            None => uri,
+            Some(rest) => {
+                let (host, _) = rest.split_once('/')?;
+                if host != self.addr.to_string() {
+                    return None;
+                }
+                &rest[host.len()..]
+            }
+        };
+        let fine = path.starts_with('/') && path.len() <= 4096 && path.bytes().all(|b| b.is_ascii_graphic());
+        fine.then(|| path.to_owned())
+    }
+
+    /// Lets the engine drop what it holds of the statement.
+    async fn farewell(&self) {
+        let Some(target) = self.next.clone() else { return };
+        let request = Request::new(Method::Delete, target).with(extra::ROUTER, &self.engines.manner.router);
+        let pool = &self.engines.pool;
+        let _ = pool.exchange(self.a.engine, self.addr, &request, FAREWELL, FAREWELL).await;
+    }
+}
+
+fn work_of(answer: &Response) -> Option<hoptiller::Micros> {
+    let ms = extra::number(answer.headers.get(extra::COST)?, "work_ms")?;
+    (ms > 0.0 && ms < 1e12).then_some((ms * 1000.0) as hoptiller::Micros)
+}
+
+/// Fields by which an engine changes a client's session.
+fn is_session_field(name: &str) -> bool {
+    let name = name.to_ascii_lowercase();
+    ["x-trino-set-", "x-trino-clear-", "x-trino-added-", "x-trino-deallocated-", "x-trino-started-"]
+        .iter()
+        .any(|prefix| name.starts_with(prefix))
+}
--- /dev/null
+++ b/crates/router/src/fronts/http.rs
@@ -0,0 +1,221 @@
+//! Owns the statement API over HTTP: which request means what, and how long a poll waits.
+
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::SystemTime;
+
+use async_io::{Async, Timer};
+use futures_lite::future;
+use hoptiller_http::server::{Config, Handler, Reply};
+use hoptiller_http::{Limits, Method, Request, Response};
+use hoptiller_statement::{ClientHeaders, Known, Phase, QueryId, Repeat, STATEMENT, Token};
+
+use super::render;
+use crate::core::{Poll, StatementId, Submission, Turned, Work};
+use crate::restart;
+use crate::service::{Extra, Service};
+use crate::settings::RepeatSettings;
+
+/// Answers clients for ever.
+pub async fn serve(service: Rc<Service>, listener: Async<TcpListener>, extra: Extra) -> io::Result<()> {
+    let l = &service.settings.limits;
+    let config = Config {
+        limits: Limits { body: l.statement_bytes, ..Limits::default() },
+        connections: l.connections,
+        ..Config::default()
+    };
+    let ex = service.executor().clone();
+    let me = service.clone();
+    let handler: Handler = Rc::new(move |request| {
+        let (me, extra) = (me.clone(), extra.clone());
+        Box::pin(async move { Reply::Send(answer(&me, request, &extra).await) })
+    });
+    hoptiller_http::server::serve(listener, config, handler, move |task| ex.spawn(task).detach()).await
+}
+
+async fn answer(service: &Rc<Service>, request: Request, extra: &Extra) -> Response {
+    let path = request.path();
+    if path == STATEMENT {
+        return match request.method {
+            Method::Post => submit(service, &request),
+            _ => not_allowed("POST"),
+        };
+    }
+    if path.starts_with("/v1/statement/") {
+        let Ok(token) = service.key.read(path) else {
+            return Response::text(404, "no such statement");
+        };
+        let base = base(service, &request);
+        return match request.method {
+            Method::Get => poll(service, &token, &base).await,
+            Method::Delete => cancel(service, &token),
+            _ => not_allowed("GET, DELETE"),
+        };
+    }
+    if path.starts_with("/v1/query/") {
+        return match (service.key.read_course(path), &request.method) {
+            (Ok(id), Method::Get) => course(service, &id),
+            (Ok(_), _) => not_allowed("GET"),
+            (Err(_), _) => Response::text(404, "no such statement"),
+        };
+    }
+    match (path, &request.method) {
+        ("/v1/info", Method::Get) => render::info(service),
+        ("/v1/info/state", Method::Get) => {
+            Response::json(200, if service.is_ending() { "\"SHUTTING_DOWN\"" } else { "\"ACTIVE\"" })
+        }
+        (_, Method::Get) => match extra(path) {
+            Some(response) => response,
+            None => Response::text(404, "nothing here; statements go to POST /v1/statement"),
+        },
+        _ => Response::text(404, "nothing here; statements go to POST /v1/statement"),
+    }
+}
+
+fn not_allowed(allowed: &str) -> Response {
+    Response::text(405, "method not allowed here").with("Allow", allowed)
+}
+
+/// Where the client reaches this router: by its own words where they are sane.
+fn base(service: &Service, request: &Request) -> String {
+    let host = request.headers.get("host").unwrap_or_default();
+    let sane = |b: u8| b.is_ascii_alphanumeric() || b".-:[]_".contains(&b);
+    match !host.is_empty() && host.len() <= 255 && host.bytes().all(sane) {
+        true => format!("http://{host}"),
+        false => format!("http://{}", service.settings.router.listen),
+    }
+}
+
+fn submit(service: &Rc<Service>, request: &Request) -> Response {
+    let submission = match read(service, request) {
+        Ok(submission) => submission,
+        Err(what) => return Response::text(400, &what),
+    };
+    let hold_off = service.settings.limits.hold_off;
+    match service.with_core(|core, now| core.submit(now, submission)) {
+        Ok(id) => {
+            let Some(first) = service.with_core(|core, now| match core.poll(now, id, 0) {
+                Poll::Answer(first) => Some(first),
+                _ => None,
+            }) else {
+                return Response::text(500, "the statement was lost");
+            };
+            let id = QueryId::new(SystemTime::now(), id, &service.life);
+            render::answer(service, &id, &first, &base(service, request))
+        }
+        Err(Turned::Full) => Response::text(429, "too many statements are open; come back later")
+            .with("Retry-After", &render::seconds(hold_off)),
+        Err(Turned::Ending) => Response::text(503, "this router is ending; come back later")
+            .with("Retry-After", &render::seconds(hold_off)),
+    }
+}
+
+/// What a client wants, or what is wrong with it.
+fn read(service: &Service, request: &Request) -> Result<Submission, String> {
+    let settings = &service.settings;
+    let headers = ClientHeaders::read(request.headers.iter()).map_err(|e| e.to_string())?;
+    let text =
+        String::from_utf8(request.body.clone()).map_err(|_| "the statement is not UTF-8".to_owned())?;
+    if text.trim().is_empty() {
+        return Err("the statement is empty".into());
+    }
+    let class = match (&headers.class, &headers.source) {
+        (Some(name), _) => settings.class(name).ok_or_else(|| {
+            let known: Vec<&str> = settings.classes.iter().map(|c| c.name.as_str()).collect();
+            format!("X-Trino-Client-Tags: class {name:?} is none of {}", known.join(", "))
+        })?,
+        (None, Some(source)) => settings.class(source).unwrap_or(settings.default_class),
+        (None, None) => settings.default_class,
+    };
+    let passed = request
+        .headers
+        .iter()
+        .filter(|(name, _)| name.len() > 8 && name.as_bytes()[..8].eq_ignore_ascii_case(b"x-trino-"));
+    Ok(Submission {
+        class,
+        tenant: headers.tenant.and_then(|t| settings.tenants.iter().position(|(name, _)| *name == t)),
+        key: headers.key,
+        tables: headers.tables,
+        repeat: headers.repeat,
+        patience: headers.patience.map(|p| p.as_micros() as u64),
+        work: Rc::new(Work { text, fields: passed.map(|(n, v)| (n.to_owned(), v.to_owned())).collect() }),
+    })
+}
+
+async fn poll(service: &Rc<Service>, token: &Token, base: &str) -> Response {
+    if token.id.life != service.life {
+        return render::earlier_life(service, token);
+    }
+    let id: StatementId = token.id.number;
+    // The ear is there before the question, so that no news falls between them.
+    let mut found = service.with_core(|core, now| core.poll(now, id, token.page));
+    if matches!(found, Poll::Wait) {
+        service.with_core(|core, now| core.waiting(now, id, true));
+        found = wait(service, id, token.page).await;
+        service.with_core(|core, now| core.waiting(now, id, false));
+        service.unlisten(id);
+    }
+    match found {
+        Poll::Answer(answer) => render::answer(service, &token.id, &answer, base),
+        Poll::Gone => Response::text(410, "that answer was given; the one after it, or the end, is known"),
+        Poll::Wait | Poll::Unknown => Response::text(404, "no such answer"),
+    }
+}
+
+/// Waits for news as long as a poll waits.
+async fn wait(service: &Rc<Service>, id: StatementId, page: u64) -> Poll {
+    let mut time = Timer::after(service.settings.limits.long_poll);
+    loop {
+        let news = service.listen(id);
+        match service.with_core(|core, now| core.poll(now, id, page)) {
+            Poll::Wait => {}
+            found => return found,
+        }
+        let timed_out = future::or(
+            async {
+                news.await;
+                false
+            },
+            async {
+                (&mut time).await;
+                true
+            },
+        )
+        .await;
+        if timed_out {
+            return service.with_core(|core, now| core.poll_at_once(now, id, page));
+        }
+    }
+}
+
+fn cancel(service: &Rc<Service>, token: &Token) -> Response {
+    if token.id.life == service.life {
+        service.with_core(|core, now| core.cancel(now, token.id.number));
+    }
+    Response::new(204)
+}
+
+fn course(service: &Rc<Service>, id: &QueryId) -> Response {
+    if id.life != service.life {
+        return Response::text(410, "an earlier life of this router had that statement");
+    }
+    match service.with_core(|core, now| core.course(now, id.number)) {
+        Some(course) => render::course(service, id, &course),
+        None => Response::text(410, "that statement is over, and its course is not kept any more"),
+    }
+}
+
+/// What a URI tells of a statement of that class.
+pub(super) fn known(service: &Service, class: usize, flowing: bool) -> Known {
+    let repeat = match service.settings.classes[class].repeat {
+        RepeatSettings::Safe => Repeat::Safe,
+        RepeatSettings::Never => Repeat::Unsafe,
+    };
+    Known { repeat, phase: if flowing { Phase::Rows } else { Phase::Waiting } }
+}
+
+/// The answer for a URI of an earlier life.
+pub(super) fn earlier(token: &Token) -> (hoptiller_statement::ErrorName, &'static str) {
+    restart::answer(token.known)
+}
--- /dev/null
+++ b/crates/router/src/fronts/mod.rs
@@ -0,0 +1,4 @@
+//! Fronts: each speaks one protocol with clients, on the same core and under the same rules.
+
+pub mod http;
+mod render;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,16 @@
+//! The router: takes statements, lets the decision module say where each goes, and carries that out.
+//!
+//! Dependencies point one way: [`settings`], [`core`] and [`membership`] know nothing of sockets; [`engines`],
+//! [`discovery`] and [`fronts`] move bytes and decide nothing; [`service`] ties them together.
 
+pub mod core;
+pub mod discovery;
+pub mod engines;
+pub mod fronts;
+pub mod membership;
+pub mod restart;
+pub mod service;
+pub mod settings;
+
+pub use service::{Service, Stopped};
+pub use settings::{Problem, Settings};
--- /dev/null
+++ b/crates/router/src/membership.rs
@@ -0,0 +1,231 @@
+//! Owns which engines there are, as far as discovery and the engines themselves have told: no I/O, no clock.
+//!
+//! Discovery's list names engines and where they are; it can be late and knows only whether a process runs.
+//! Each engine tells its own state and how long it has run. A process that is younger than the one known is a
+//! new one, even where the list has not noticed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hoptiller::{EngineId, Entry, Micros, Readiness};
+use hoptiller_statement::discovery::{ENGINE_TYPE, NodeState, Service, Services};
+
+/// Engines that one list may name; more are passed over.
+const MOST: usize = 10_000;
+
+/// An uptime that puts the start this much later than known tells of a new process. Less is the time that the
+/// answer took, and the rounding of the text.
+const NEW_PROCESS: Micros = 1_500_000;
+
+/// An engine that is listed.
+#[derive(Clone, Debug)]
+pub struct Node {
+    /// The engine, as the decision module knows it; kept for good.
+    pub id: EngineId,
+    /// Its name.
+    pub name: String,
+    /// Where it is.
+    pub addr: SocketAddr,
+    service: String,
+    zone: Option<usize>,
+    kind: Option<usize>,
+    cell: u64,
+    ready_at: Micros,
+    told_uptime: bool,
+    draining: bool,
+}
+
+/// The engines known.
+#[derive(Debug, Default)]
+pub struct Membership {
+    environment: String,
+    kinds: Vec<String>,
+    zones: Vec<String>,
+    ids: BTreeMap<String, EngineId>,
+    nodes: BTreeMap<String, Node>,
+    changed: bool,
+}
+
+impl Membership {
+    /// Knows no engine yet; kinds and zones are those of the settings, in their order.
+    pub fn new(environment: &str, kinds: Vec<String>, zones: Vec<String>) -> Membership {
+        Membership { environment: environment.to_owned(), kinds, zones, ..Membership::default() }
+    }
+
+    /// Takes a complete list. What it lacks is gone. Returns what was passed over, and why.
+    pub fn list(&mut self, now: Micros, list: &Services) -> Vec<String> {
+        let mut passed = Vec::new();
+        let mut nodes = BTreeMap::new();
+        for service in list.services.iter().filter(|s| s.kind == ENGINE_TYPE) {
+            if nodes.len() == MOST {
+                passed.push(format!("more than {MOST} engines"));
+                break;
+            }
+            match self.node(now, list, service) {
+                Err(why) => passed.push(format!("{:?}: {why}", service.node_id)),
+                Ok(node) if nodes.contains_key(&node.name) => {
+                    passed.push(format!("{:?}: listed twice", node.name));
+                }
+                Ok(node) => {
+                    nodes.insert(node.name.clone(), node);
+                }
+            }
+        }
+        let same = nodes.len() == self.nodes.len()
+            && nodes
+                .values()
+                .zip(self.nodes.values())
+                .all(|(a, b)| a.name == b.name && a.service == b.service);
+        self.changed |= !same;
+        self.nodes = nodes;
+        passed
+    }
+
+    fn node(&mut self, now: Micros, list: &Services, s: &Service) -> Result<Node, String> {
+        if list.environment != self.environment {
+            return Err(format!("environment {:?}, not {:?}", list.environment, self.environment));
+        }
+        if s.node_id.is_empty() || s.node_id.len() > 128 {
+            return Err("a node id of 1 to 128 bytes is wanted".into());
+        }
+        let uri = s.properties.get("http").ok_or("no property http")?;
+        let addr = uri.strip_prefix("http://").unwrap_or(uri).trim_end_matches('/');
+        let addr: SocketAddr = addr.parse().map_err(|_| format!("{uri:?} is no http://address:port"))?;
+        if let Some(known) = self.nodes.get(&s.node_id)
+            && known.service == s.id
+            && known.addr == addr
+        {
+            return Ok(known.clone());
+        }
+        let fresh = EngineId(u32::try_from(self.ids.len()).map_err(|_| "too many engines seen")?);
+        let id = *self.ids.entry(s.node_id.clone()).or_insert(fresh);
+        let position =
+            |names: &[String], name: Option<&str>| names.iter().position(|n| Some(n.as_str()) == name);
+        let zone = s.location.split('/').find(|part| !part.is_empty());
+        Ok(Node {
+            id,
+            name: s.node_id.clone(),
+            addr,
+            service: s.id.clone(),
+            zone: position(&self.zones, zone),
+            kind: position(&self.kinds, s.properties.get("kind").map(String::as_str)),
+            cell: s.properties.get("cell").and_then(|c| c.parse().ok()).unwrap_or(0),
+            // Danger: one whose age is not known may be cold; taken for warm it could be pushed over.
+            ready_at: now,
+            told_uptime: false,
+            draining: false,
+        })
+    }
+
+    /// An engine has told its state.
+    pub fn state(&mut self, name: &str, state: NodeState) {
+        if let Some(node) = self.nodes.get_mut(name) {
+            let draining = state == NodeState::ShuttingDown;
+            self.changed |= node.draining != draining;
+            node.draining = draining;
+        }
+    }
+
+    /// An engine has told how long it has run.
+    pub fn uptime(&mut self, now: Micros, name: &str, uptime: Duration) {
+        if let Some(node) = self.nodes.get_mut(name) {
+            let started = now.saturating_sub(uptime.as_micros() as Micros);
+            let newer = started > node.ready_at.saturating_add(NEW_PROCESS);
+            if !node.told_uptime || newer {
+                self.changed |= node.ready_at != started;
+                (node.ready_at, node.told_uptime) = (started, true);
+                node.draining &= !newer;
+            }
+        }
+    }
+
+    /// The engines listed.
+    pub fn nodes(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.values()
+    }
+
+    /// The complete list for the decision module, where it has changed since the last call.
+    pub fn take_changed(&mut self) -> Option<Vec<Entry>> {
+        std::mem::take(&mut self.changed).then(|| {
+            let entry = |n: &Node| Entry {
+                engine: n.id,
+                zone: n.zone,
+                kind: n.kind,
+                cell: n.cell,
+                ready_at: n.ready_at,
+                readiness: if n.draining { Readiness::Draining } else { Readiness::Up },
+            };
+            self.nodes.values().map(entry).collect()
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Micros = 1_000_000;
+
+    fn services(lines: &[(&str, &str, &str)]) -> Services {
+        let service = |(node, id, http): &(&str, &str, &str)| Service {
+            id: (*id).into(),
+            node_id: (*node).into(),
+            kind: ENGINE_TYPE.into(),
+            pool: "general".into(),
+            location: format!("/hall-b/{node}"),
+            properties: [("http", *http), ("kind", "big")].map(|(k, v)| (k.to_owned(), v.to_owned())).into(),
+        };
+        Services { environment: "e".into(), services: lines.iter().map(service).collect() }
+    }
+
+    fn membership() -> Membership {
+        let names = |n: &[&str]| n.iter().map(|s| (*s).to_owned()).collect();
+        Membership::new("e", names(&["small", "big"]), names(&["hall-a", "hall-b"]))
+    }
+
+    #[test]
+    fn an_engine_of_unknown_age_counts_as_cold_until_it_tells() {
+        let mut m = membership();
+        assert!(m.list(100 * S, &services(&[("a", "1", "http://127.0.0.1:1")])).is_empty());
+        let entries = m.take_changed().expect("new");
+        assert_eq!((entries[0].ready_at, entries[0].zone, entries[0].kind), (100 * S, Some(1), Some(1)));
+        m.uptime(101 * S, "a", Duration::from_secs(60));
+        assert_eq!(m.take_changed().expect("older")[0].ready_at, 41 * S);
+        m.uptime(103 * S, "a", Duration::from_millis(61_500));
+        assert!(m.take_changed().is_none(), "the same process");
+    }
+
+    #[test]
+    fn a_younger_process_under_the_same_id_is_a_new_one_and_no_longer_drains() {
+        let mut m = membership();
+        let list = services(&[("a", "1", "http://127.0.0.1:1")]);
+        m.list(0, &list);
+        m.uptime(100 * S, "a", Duration::from_secs(60));
+        m.state("a", NodeState::ShuttingDown);
+        assert_eq!(m.take_changed().expect("drains")[0].readiness, Readiness::Draining);
+        m.list(101 * S, &list);
+        assert!(m.take_changed().is_none(), "a list that knows nothing of it changes nothing");
+        m.uptime(110 * S, "a", Duration::from_secs(2));
+        let entry = m.take_changed().expect("restarted")[0].clone();
+        assert_eq!((entry.ready_at, entry.readiness), (108 * S, Readiness::Up));
+    }
+
+    #[test]
+    fn what_a_list_lacks_is_gone_and_what_it_garbles_is_passed_over() {
+        let mut m = membership();
+        m.list(0, &services(&[("a", "1", "http://127.0.0.1:1"), ("b", "2", "127.0.0.1:2")]));
+        assert_eq!(m.take_changed().map(|e| e.len()), Some(2));
+        let garbled = [
+            ("b", "2", "127.0.0.1:2"),
+            ("b", "3", "127.0.0.1:3"),
+            ("c", "4", "nowhere"),
+            ("", "5", "127.0.0.1:5"),
+        ];
+        assert_eq!(m.list(S, &services(&garbled)).len(), 3);
+        let left = m.take_changed().expect("a is gone");
+        assert_eq!(left.iter().map(|e| e.engine).collect::<Vec<_>>(), vec![EngineId(1)]);
+        let other = Services { environment: "other".into(), ..services(&[("b", "2", "127.0.0.1:2")]) };
+        assert_eq!(m.list(S, &other).len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/router/src/restart.rs
@@ -0,0 +1,38 @@
+//! Owns the answer to a client whose statement an earlier life of this router had taken. All that is left is
+//! its URI: what was known when that was given out. So the answer follows from the URI alone, and is the same
+//! however often it is asked for.
+
+use hoptiller_statement::{ErrorName, Known, Phase, Repeat};
+
+/// The final answer for what is known, and its text.
+pub fn answer(known: Known) -> (ErrorName, &'static str) {
+    match (known.repeat, known.phase) {
+        (Repeat::Unsafe, _) => (
+            ErrorName::MayHaveRun,
+            "the router was restarted while it had this statement; it may have run: look it up before it is \
+             sent again",
+        ),
+        (Repeat::Safe, Phase::Rows) => (
+            ErrorName::ResultCut,
+            "the router was restarted after it had given out rows of this result, and the rest is lost; \
+             running the statement again is harmless",
+        ),
+        (Repeat::Safe, Phase::Waiting) => (
+            ErrorName::RouterRestarted,
+            "the router was restarted while it had this statement; running it again is harmless",
+        ),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_must_not_run_twice_is_never_said_to_be_harmless() {
+        for phase in [Phase::Waiting, Phase::Rows] {
+            assert!(!answer(Known { repeat: Repeat::Unsafe, phase }).0.is_harmless());
+        }
+        assert!(answer(Known { repeat: Repeat::Safe, phase: Phase::Waiting }).0.is_harmless());
+    }
+}
--- /dev/null
+++ b/crates/router/src/service.rs
@@ -0,0 +1,301 @@
+//! Owns a running router: ties the core to fronts, engines and discovery, and runs its rounds.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use event_listener::{Event as Bell, EventListener};
+use futures_lite::future;
+use hoptiller::{EngineId, LoadReport, Micros, Progress, Scope};
+use hoptiller_statement::Key;
+
+use crate::core::{Bounds, Command, Core, Ended, Failure, Page, StatementId, ending_word};
+use crate::discovery::{Discovery, Listener};
+use crate::engines::{Control, Engines, Manner, Report};
+use crate::fronts;
+use crate::settings::Settings;
+
+/// The clock starts here, so that engines which started before the router have a time of their start too.
+const CLOCK_START: Micros = 24 * 3_600_000_000;
+
+/// How a router ended when told to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stopped {
+    /// All that it held was answered.
+    Clean,
+    /// Its time to finish ran out with so many statements open.
+    Cut(usize),
+}
+
+/// What a front needs to answer requests beside statements.
+pub type Extra = Rc<dyn Fn(&str) -> Option<hoptiller_http::Response>>;
+
+/// A running router.
+pub struct Service {
+    me: Weak<Service>,
+    /// Its settings.
+    pub settings: Rc<Settings>,
+    /// The key of its tokens.
+    pub key: Key,
+    /// The name of this life.
+    pub life: String,
+    core: RefCell<Core>,
+    engines: Rc<Engines>,
+    discovery: Rc<Discovery>,
+    ex: Rc<LocalExecutor<'static>>,
+    started: Instant,
+    /// Rung when the core has something for a round.
+    bell: Bell,
+    waiting: RefCell<HashMap<StatementId, Rc<Bell>>>,
+    /// Rounds, and the time they took.
+    rounds: Cell<(u64, Duration)>,
+    ending: Cell<bool>,
+}
+
+impl Service {
+    /// A router from checked settings, with the secret of its tokens and the name of this life.
+    pub fn new(
+        settings: Settings,
+        secret: &[u8],
+        life: String,
+        ex: Rc<LocalExecutor<'static>>,
+    ) -> Result<Rc<Service>, hoptiller::SettingsError> {
+        let l = &settings.limits;
+        let micros = |d: Duration| d.as_micros() as Micros;
+        let bounds = Bounds {
+            statements: l.statements,
+            answered: l.answered,
+            keep: micros(l.keep),
+            abandon_after: micros(l.abandon_after),
+            held_bytes: l.held_bytes,
+        };
+        let core = Core::new(settings.decisions(), settings.router.seed, bounds)?;
+        let engines = Engines::new(Manner {
+            router: settings.router.name.clone(),
+            classes: settings.classes.iter().map(|c| c.name.clone()).collect(),
+            connect_within: settings.engines.connect_within,
+            poll_within: settings.engines.poll_within,
+            page_bytes: l.page_bytes,
+        });
+        let settings = Rc::new(settings);
+        Ok(Rc::new_cyclic(|me| Service {
+            me: me.clone(),
+            key: Key::new(secret, &settings.router.name),
+            life,
+            core: RefCell::new(core),
+            engines: Rc::new(engines),
+            discovery: Rc::new(Discovery::new(settings.clone())),
+            settings,
+            ex,
+            started: Instant::now(),
+            bell: Bell::new(),
+            waiting: RefCell::default(),
+            rounds: Cell::default(),
+            ending: Cell::new(false),
+        }))
+    }
+
+    /// Listens, and starts everything on the executor. Returns the address.
+    pub fn start(self: &Rc<Self>, extra: Extra) -> io::Result<SocketAddr> {
+        let listener = hoptiller_http::server::bind(self.settings.router.listen)?;
+        let addr = listener.get_ref().local_addr()?;
+        self.ex.spawn(self.clone().run_rounds()).detach();
+        let listener_of_lists: Rc<dyn Listener> = self.clone();
+        self.ex.spawn(self.discovery.clone().run(self.ex.clone(), listener_of_lists)).detach();
+        let front = fronts::http::serve(self.clone(), listener, extra);
+        self.ex.spawn(front).detach();
+        Ok(addr)
+    }
+
+    /// Takes nothing new, finishes what it holds, and returns.
+    pub async fn end(&self) -> Stopped {
+        self.ending.set(true);
+        self.core.borrow_mut().end();
+        let until = Instant::now() + self.settings.limits.drain_within;
+        loop {
+            if self.core.borrow().is_idle() {
+                // What has just been answered is still being written.
+                Timer::after(Duration::from_millis(50)).await;
+                return Stopped::Clean;
+            }
+            if Instant::now() >= until {
+                return Stopped::Cut(self.core.borrow().sizes().0);
+            }
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Whether it was told to end.
+    pub fn is_ending(&self) -> bool {
+        self.ending.get()
+    }
+
+    /// The core, for one call; rounds are rung for behind it.
+    pub fn with_core<T>(&self, act: impl FnOnce(&mut Core, Micros) -> T) -> T {
+        let now = Report::now(self);
+        let (value, more) = {
+            let mut core = self.core.borrow_mut();
+            let value = act(&mut core, now);
+            (value, core.has_events())
+        };
+        self.carry_out();
+        if more {
+            self.bell.notify(1);
+        }
+        value
+    }
+
+    /// The executor that its tasks run on.
+    pub fn executor(&self) -> &Rc<LocalExecutor<'static>> {
+        &self.ex
+    }
+
+    /// An engine's name.
+    pub fn engine_name(&self, engine: EngineId) -> String {
+        self.engines.name(engine)
+    }
+
+    /// Rounds so far, and the time they took.
+    pub fn rounds(&self) -> (u64, Duration) {
+        self.rounds.get()
+    }
+
+    /// Attempts under way.
+    pub fn under_way(&self) -> usize {
+        self.engines.under_way()
+    }
+
+    /// Waits for news of a statement; to be made before the core is asked, so that no news is missed.
+    pub fn listen(&self, id: StatementId) -> EventListener {
+        self.waiting.borrow_mut().entry(id).or_default().listen()
+    }
+
+    /// Nobody may wait for a statement any more: forgets its bell then.
+    pub fn unlisten(&self, id: StatementId) {
+        let mut waiting = self.waiting.borrow_mut();
+        if waiting.get(&id).is_some_and(|bell| bell.total_listeners() == 0) {
+            waiting.remove(&id);
+        }
+    }
+
+    /// Rounds for ever: when something has come, no closer together than the tick, and when one is due.
+    async fn run_rounds(self: Rc<Self>) {
+        let tick = self.settings.limits.tick;
+        loop {
+            let rung = self.bell.listen();
+            let (events, due) = {
+                let core = self.core.borrow();
+                (core.has_events(), core.wake_at())
+            };
+            if !events {
+                let now = Report::now(&*self);
+                let left = due.map(|at| Duration::from_micros(at.saturating_sub(now)));
+                future::or(rung, async {
+                    match left {
+                        Some(left) => Timer::after(left).await,
+                        None => future::pending().await,
+                    };
+                })
+                .await;
+            }
+            let began = Instant::now();
+            let now = Report::now(&*self);
+            self.core.borrow_mut().round(now);
+            self.carry_out();
+            let (n, spent) = self.rounds.get();
+            self.rounds.set((n + 1, spent + began.elapsed()));
+            Timer::after(tick).await;
+        }
+    }
+
+    /// Carries out what the core wants.
+    fn carry_out(&self) {
+        loop {
+            let command = self.core.borrow_mut().command();
+            let Some(command) = command else { break };
+            self.command(command);
+        }
+    }
+
+    fn command(&self, command: Command) {
+        let Some(me) = self.me.upgrade() else { return };
+        match command {
+            Command::Send(attempt) => {
+                metrics::counter!("hoptiller_attempts_total").increment(1);
+                let engine = self.engines.name(attempt.engine);
+                tracing::debug!(statement = attempt.id, hop = attempt.hop, %engine, "sent");
+                self.ex.spawn(self.engines.clone().attempt(attempt, me)).detach();
+            }
+            Command::Fetch { id, hop } => self.engines.control(id, hop, Control::Fetch),
+            Command::Withdraw { id, hop } => self.engines.control(id, hop, Control::Withdraw),
+            Command::Release { id, hop } => self.engines.control(id, hop, Control::Release),
+            Command::Probe(engine) => self.ex.spawn(self.engines.clone().probe(engine, me)).detach(),
+            Command::AskDiscovery => {
+                self.discovery.now.notify(1);
+            }
+            Command::Wake(id) => {
+                if let Some(bell) = self.waiting.borrow().get(&id) {
+                    bell.notify(usize::MAX);
+                }
+            }
+            Command::Settled { id, class, how, after, attempts } => {
+                let class = &self.settings.classes[class].name;
+                let outcome = how.word();
+                metrics::counter!("hoptiller_statements_total", "class" => class.clone(), "outcome" => outcome)
+                    .increment(1);
+                metrics::histogram!("hoptiller_answer_seconds", "class" => class.clone())
+                    .record(after as f64 / 1e6);
+                tracing::info!(statement = id, %class, outcome, ms = after / 1000, attempts, "answered");
+            }
+        }
+    }
+}
+
+impl Report for Service {
+    fn now(&self) -> Micros {
+        CLOCK_START + self.started.elapsed().as_micros() as Micros
+    }
+
+    fn page(&self, id: StatementId, hop: u32, page: Page) {
+        self.with_core(|core, now| core.page(now, id, hop, page));
+    }
+
+    fn wrong(&self, id: StatementId, hop: u32, failure: Failure) {
+        self.with_core(|core, now| core.wrong(now, id, hop, failure));
+    }
+
+    fn ended(&self, id: StatementId, hop: u32, ended: Ended) {
+        let how = ending_word(ended.ending);
+        metrics::counter!("hoptiller_attempts_failed_total", "ending" => how).increment(1);
+        tracing::debug!(statement = id, hop, how, why = %ended.why, "an attempt ended");
+        self.with_core(|core, now| core.ended(now, id, hop, ended));
+    }
+
+    fn note(&self, id: StatementId, hop: u32, progress: Progress) {
+        self.with_core(|core, _| core.note(id, hop, progress));
+    }
+
+    fn probed(&self, engine: EngineId, report: Option<LoadReport>) {
+        self.with_core(|core, _| core.probed(engine, report));
+    }
+}
+
+impl Listener for Service {
+    fn now(&self) -> Micros {
+        Report::now(self)
+    }
+
+    fn list(&self, scope: Scope, entries: Vec<hoptiller::Entry>) {
+        tracing::info!(engines = entries.len(), ?scope, "the engine list");
+        self.with_core(|core, _| core.list(scope, entries));
+    }
+
+    fn place(&self, engine: EngineId, name: &str, addr: SocketAddr) {
+        self.engines.place(engine, name, addr);
+    }
+}
