hoptiller demo, route, check, standin and audit: the program runs end to end

Need: clients must be able to submit over HTTP, poll, and get rows or one clear final answer. Change: stand-in engines (a model without I/O of cores, disks, memory, cold starts; faults on purpose; a ledger that outlives its process), discovery and scripted clients; the hoptiller program with clap, tracing and metrics.

--- /dev/null
+++ b/crates/cli/src/commands/route.rs
@@ -0,0 +1,36 @@
+//! `hoptiller route`: a router.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use hoptiller_router::{Service, Settings};
+
+use crate::run::{self, Failure};
+use crate::secret;
+
+#[derive(clap::Args)]
+pub struct Args {
+    /// The settings, in Jsonnet; try `hoptiller check` on them first
+    file: PathBuf,
+}
+
+pub fn run(args: &Args) -> Result<ExitCode, Failure> {
+    let settings = Settings::load(&args.file).map_err(Failure::Settings)?;
+    let secret = match &settings.router.state {
+        None => secret::fresh(),
+        Some(dir) => secret::load_or_make(dir)
+            .map_err(|e| Failure::Outside(format!("the state folder {}", dir.display()), e))?,
+    };
+    run::block_on(async |spawner| {
+        let extra = run::extra(run::metrics(&spawner));
+        let service = Service::new(settings, &secret, secret::life(), spawner)
+            .map_err(|e| Failure::Usage(format!("{}: {e}", args.file.display())))?;
+        let listen = service.settings.router.listen;
+        let addr =
+            service.start(extra).map_err(|e| Failure::Outside(format!("can't listen on {listen}"), e))?;
+        println!("ready http://{addr}");
+        run::told_to_end().await?;
+        run::end(&service).await;
+        Ok(ExitCode::SUCCESS)
+    })
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,60 @@
-fn main() {}
+//! The `hoptiller` program: routes statements, plays stand-ins, checks settings, judges records.
+
+mod commands;
+mod logging;
+mod run;
+mod secret;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// A workload manager for shared SQL engines.
+///
+/// Clients submit statements over HTTP and poll for the rest (Trino's client protocol); each waits in the queue of
+/// its class until an engine has a place for it, and gets exactly one final answer.
+///
+/// Exit codes: 0 done; 1 a rule was broken; 2 the command line or the settings are wrong, and nothing was started;
+/// 3 something outside failed.
+#[derive(Parser)]
+#[command(version, propagate_version = true)]
+struct Cli {
+    #[command(flatten)]
+    logging: logging::LogArgs,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs everything in one process on loopback: engines, discovery and a router, to try it out.
+    Demo(commands::demo::Args),
+    /// Runs a router.
+    Route(commands::route::Args),
+    /// Checks a file of settings, and tells all that is wrong with it.
+    Check(commands::check::Args),
+    /// Runs a stand-in of what a router talks to.
+    #[command(subcommand)]
+    Standin(commands::standin::Args),
+    /// Judges the seven rules from a folder of records.
+    Audit(commands::audit::Args),
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    logging::start(&cli.logging);
+    let done = match cli.command {
+        Command::Demo(args) => commands::demo::run(&args),
+        Command::Route(args) => commands::route::run(&args),
+        Command::Check(args) => commands::check::run(&args),
+        Command::Standin(args) => commands::standin::run(&args),
+        Command::Audit(args) => commands::audit::run(&args),
+    };
+    match done {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("hoptiller: {e}");
+            ExitCode::from(e.code())
+        }
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,8 @@
 mod io;
 pub mod message;
 pub mod server;
+mod spawn;
 
 pub use codec::{Decoder, Event, Limits, ParseError, Side};
 pub use message::{Head, Headers, Method, Request, Response, StartLine, Status};
+pub use spawn::Spawner;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -15,6 +15,7 @@
 use crate::codec::{Decoder, Event, Limits, ParseError, Side};
 use crate::io::{read_into, within, write_all};
 use crate::message::{Request, Response, StartLine};
+use crate::spawn::Spawner;
 
 /// What a server does with a connection.
 #[derive(Clone, Copy, Debug)]
@@ -68,12 +69,12 @@
 /// What answers requests.
 pub type Handler = Rc<dyn Fn(Request) -> Local<Reply>>;
 
-/// Accepts until the future is dropped; each connection's own future goes to `spawn`.
+/// Accepts until the future is dropped; each connection is a task of its own.
 pub async fn serve(
     listener: Async<TcpListener>,
     config: Config,
     handler: Handler,
-    spawn: impl Fn(Local<()>),
+    spawner: Spawner,
 ) -> io::Result<()> {
     let open = Rc::new(Cell::new(0usize));
     loop {
@@ -90,11 +91,11 @@
         }
         let place = Place::take(&open);
         let handler = handler.clone();
-        spawn(Box::pin(async move {
+        spawner.spawn(async move {
             let _ = stream.get_ref().set_nodelay(true);
             let _ = converse(stream, config, &handler).await;
             drop(place);
-        }));
+        });
     }
 }
 
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -5,13 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use async_io::Timer;
 use event_listener::Event as Bell;
 use futures_lite::future;
 use hoptiller::Scope;
 use hoptiller_http::client::{ClientError, Connection};
-use hoptiller_http::{Limits, Method, Request, Response};
+use hoptiller_http::{Limits, Method, Request, Response, Spawner};
 use hoptiller_statement::client::duration;
 use hoptiller_statement::discovery::{ENGINE_TYPE, NodeInfo, NodeState, SERVICE, Services};
 use hoptiller_statement::extra;
@@ -47,7 +46,7 @@
     }
 
     /// Looks for ever.
-    pub async fn run(self: Rc<Self>, ex: Rc<LocalExecutor<'static>>, listener: Rc<dyn Listener>) {
+    pub async fn run(self: Rc<Self>, ex: Spawner, listener: Rc<dyn Listener>) {
         let d = &self.settings.discovery;
         let mut failing = false;
         loop {
@@ -96,7 +95,7 @@
     }
 
     /// Follows each listed engine's own state, one task an engine.
-    fn follow(self: &Rc<Self>, ex: &Rc<LocalExecutor<'static>>, listener: &Rc<dyn Listener>) {
+    fn follow(self: &Rc<Self>, ex: &Spawner, listener: &Rc<dyn Listener>) {
         let names: Vec<String> = self.members.borrow().nodes().map(|n| n.name.clone()).collect();
         for name in names {
             if self.followed.borrow_mut().insert(name.clone()) {
@@ -104,8 +103,7 @@
                 ex.spawn(async move {
                     me.clone().look_after(&name, listener).await;
                     me.followed.borrow_mut().remove(&name);
-                })
-                .detach();
+                });
             }
         }
     }
--- a/crates/router/src/engines/mod.rs
+++ b/crates/router/src/engines/mod.rs
@@ -73,12 +73,7 @@
     /// No engine yet.
     pub fn new(manner: Manner) -> Engines {
         let limits = Limits { body: manner.page_bytes, head: 64 << 10, ..Limits::default() };
-        Engines {
-            pool: Pool::new(limits),
-            places: RefCell::default(),
-            under_way: RefCell::default(),
-            manner,
-        }
+        Engines { pool: Pool::new(limits), places: RefCell::default(), under_way: RefCell::default(), manner }
     }
 
     /// An engine is at this address now.
--- a/crates/router/src/fronts/http.rs
+++ b/crates/router/src/fronts/http.rs
@@ -25,13 +25,13 @@
         connections: l.connections,
         ..Config::default()
     };
-    let ex = service.executor().clone();
+    let ex = service.spawner().clone();
     let me = service.clone();
     let handler: Handler = Rc::new(move |request| {
         let (me, extra) = (me.clone(), extra.clone());
         Box::pin(async move { Reply::Send(answer(&me, request, &extra).await) })
     });
-    hoptiller_http::server::serve(listener, config, handler, move |task| ex.spawn(task).detach()).await
+    hoptiller_http::server::serve(listener, config, handler, ex).await
 }
 
 async fn answer(service: &Rc<Service>, request: Request, extra: &Extra) -> Response {
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -7,11 +7,11 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use async_executor::LocalExecutor;
 use async_io::Timer;
 use event_listener::{Event as Bell, EventListener};
 use futures_lite::future;
 use hoptiller::{EngineId, LoadReport, Micros, Progress, Scope};
+use hoptiller_http::Spawner;
 use hoptiller_statement::Key;
 
 use crate::core::{Bounds, Command, Core, Ended, Failure, Page, StatementId, ending_word};
@@ -47,7 +47,7 @@
     core: RefCell<Core>,
     engines: Rc<Engines>,
     discovery: Rc<Discovery>,
-    ex: Rc<LocalExecutor<'static>>,
+    ex: Spawner,
     started: Instant,
     /// Rung when the core has something for a round.
     bell: Bell,
@@ -55,6 +55,7 @@
     /// Rounds, and the time they took.
     rounds: Cell<(u64, Duration)>,
     ending: Cell<bool>,
+    listed: Cell<usize>,
 }
 
 impl Service {
@@ -63,7 +64,7 @@
         settings: Settings,
         secret: &[u8],
         life: String,
-        ex: Rc<LocalExecutor<'static>>,
+        ex: Spawner,
     ) -> Result<Rc<Service>, hoptiller::SettingsError> {
         let l = &settings.limits;
         let micros = |d: Duration| d.as_micros() as Micros;
@@ -97,6 +98,7 @@
             waiting: RefCell::default(),
             rounds: Cell::default(),
             ending: Cell::new(false),
+            listed: Cell::new(0),
         }))
     }
 
@@ -104,11 +106,13 @@
     pub fn start(self: &Rc<Self>, extra: Extra) -> io::Result<SocketAddr> {
         let listener = hoptiller_http::server::bind(self.settings.router.listen)?;
         let addr = listener.get_ref().local_addr()?;
-        self.ex.spawn(self.clone().run_rounds()).detach();
+        self.ex.spawn(self.clone().run_rounds());
         let listener_of_lists: Rc<dyn Listener> = self.clone();
-        self.ex.spawn(self.discovery.clone().run(self.ex.clone(), listener_of_lists)).detach();
+        self.ex.spawn(self.discovery.clone().run(self.ex.clone(), listener_of_lists));
         let front = fronts::http::serve(self.clone(), listener, extra);
-        self.ex.spawn(front).detach();
+        self.ex.spawn(async move {
+            let _ = front.await;
+        });
         Ok(addr)
     }
 
@@ -150,8 +154,8 @@
         value
     }
 
-    /// The executor that its tasks run on.
-    pub fn executor(&self) -> &Rc<LocalExecutor<'static>> {
+    /// What its tasks are started with.
+    pub fn spawner(&self) -> &Spawner {
         &self.ex
     }
 
@@ -160,6 +164,11 @@
         self.engines.name(engine)
     }
 
+    /// Engines on the last list.
+    pub fn listed(&self) -> usize {
+        self.listed.get()
+    }
+
     /// Rounds so far, and the time they took.
     pub fn rounds(&self) -> (u64, Duration) {
         self.rounds.get()
@@ -229,12 +238,12 @@
                 metrics::counter!("hoptiller_attempts_total").increment(1);
                 let engine = self.engines.name(attempt.engine);
                 tracing::debug!(statement = attempt.id, hop = attempt.hop, %engine, "sent");
-                self.ex.spawn(self.engines.clone().attempt(attempt, me)).detach();
+                self.ex.spawn(self.engines.clone().attempt(attempt, me));
             }
             Command::Fetch { id, hop } => self.engines.control(id, hop, Control::Fetch),
             Command::Withdraw { id, hop } => self.engines.control(id, hop, Control::Withdraw),
             Command::Release { id, hop } => self.engines.control(id, hop, Control::Release),
-            Command::Probe(engine) => self.ex.spawn(self.engines.clone().probe(engine, me)).detach(),
+            Command::Probe(engine) => self.ex.spawn(self.engines.clone().probe(engine, me)),
             Command::AskDiscovery => {
                 self.discovery.now.notify(1);
             }
@@ -291,7 +300,10 @@
     }
 
     fn list(&self, scope: Scope, entries: Vec<hoptiller::Entry>) {
-        tracing::info!(engines = entries.len(), ?scope, "the engine list");
+        if scope != Scope::Refused {
+            self.listed.set(entries.len());
+            tracing::info!(engines = entries.len(), "the engine list has changed");
+        }
         self.with_core(|core, _| core.list(scope, entries));
     }
 
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,520 @@
+//! Owns a stand-in engine's sockets: the statement API as an engine speaks it, its state and status, its
+//! announcement. What work does is [`model`](crate::model)'s; how it fails is [`fault`](crate::fault)'s.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use event_listener::Event as Bell;
+use futures_lite::future;
+use hoptiller_audit::{Record, Recorder, now as wall};
+use hoptiller_http::client::Connection;
+use hoptiller_http::server::{Config, Handler, Reply};
+use hoptiller_http::{Limits, Method, Request, Response, Spawner};
+use hoptiller_statement::discovery::{ANNOUNCEMENT, AnnouncedService, Announcement, ENGINE_TYPE, NodeStatus};
+use hoptiller_statement::results::{QueryError, Stats};
+use hoptiller_statement::{ErrorName, ErrorType, QueryResults, STATEMENT, State, client, extra};
+use serde_json::value::{RawValue, to_raw_value};
+
+use crate::Running;
+use crate::fault::Faults;
+use crate::ledger::Ledger;
+use crate::model::{Admission, Model, Spec};
+use crate::shape::{self, Shape};
+
+/// What a stand-in engine is.
+#[derive(Clone)]
+pub struct EngineConfig {
+    /// Its name; kept over restarts.
+    pub node: String,
+    /// The installation.
+    pub environment: String,
+    /// Its machine kind.
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where it announces itself.
+    pub discovery: Option<SocketAddr>,
+    /// How it works.
+    pub spec: Spec,
+    /// It starts cold.
+    pub cold: bool,
+    /// It tells progress in answers to polls.
+    pub notes: bool,
+    /// Its effects.
+    pub ledger: Ledger,
+    /// What passes on its sockets.
+    pub recorder: Recorder,
+    /// How it fails; may change while it runs.
+    pub faults: Arc<Mutex<Faults>>,
+}
+
+impl EngineConfig {
+    /// A warm engine that records and posts into memory.
+    pub fn new(node: &str, kind: &str, zone: &str) -> EngineConfig {
+        EngineConfig {
+            node: node.into(),
+            environment: "lettings".into(),
+            kind: kind.into(),
+            zone: zone.into(),
+            listen: ([127, 0, 0, 1], 0).into(),
+            discovery: None,
+            spec: Spec::default(),
+            cold: false,
+            notes: false,
+            ledger: Ledger::default(),
+            recorder: Recorder::default(),
+            faults: Arc::default(),
+        }
+    }
+
+    /// Starts it on a thread of its own.
+    pub fn start(&self) -> io::Result<Running> {
+        let config = self.clone();
+        Running::new(&self.node, move |spawner| start(config, spawner))
+    }
+
+    /// Sets its faults.
+    pub fn fail(&self, faults: Faults) {
+        if let Ok(mut f) = self.faults.lock() {
+            *f = faults;
+        }
+    }
+}
+
+/// Longest wait of a poll for news.
+const LONG_POLL: Duration = Duration::from_secs(1);
+/// Time between announcements.
+const ANNOUNCE: Duration = Duration::from_millis(300);
+/// Sessions at most; the oldest that is over goes first.
+const SESSIONS: usize = 20_000;
+
+struct Session {
+    trace: String,
+    shape: Shape,
+    done: bool,
+    failed: bool,
+    faults: Faults,
+    bell: Rc<Bell>,
+}
+
+struct Inner {
+    config: EngineConfig,
+    started: Instant,
+    model: Model,
+    sessions: BTreeMap<u64, Session>,
+    next: u64,
+    draining: bool,
+}
+
+/// An engine's clock starts here, so that a warm one has a past.
+const PAST: u64 = 3_600_000_000;
+
+type Engine = Rc<(RefCell<Inner>, Bell)>;
+
+fn start(config: EngineConfig, spawner: Spawner) -> io::Result<SocketAddr> {
+    let listener = hoptiller_http::server::bind(config.listen)?;
+    let addr = listener.get_ref().local_addr()?;
+    config.recorder.write(Record::Started { at: wall(), engine: config.node.clone(), cold: config.cold });
+    let model = Model::new(config.spec.clone(), PAST, config.cold);
+    let inner =
+        Inner { started: Instant::now(), model, sessions: BTreeMap::new(), next: 0, draining: false, config };
+    let engine: Engine = Rc::new((RefCell::new(inner), Bell::new()));
+    spawner.spawn(work(engine.clone()));
+    spawner.spawn(announce(engine.clone(), addr));
+    let handler: Handler = Rc::new(move |request| {
+        let engine = engine.clone();
+        Box::pin(async move { engine_reply(&engine, request, addr).await })
+    });
+    let config = Config { limits: Limits { body: 8 << 20, ..Limits::default() }, ..Config::default() };
+    let own = spawner.clone();
+    spawner.spawn(async move {
+        let _ = hoptiller_http::server::serve(listener, config, handler, own).await;
+    });
+    Ok(addr)
+}
+
+impl Inner {
+    fn now(&self) -> u64 {
+        PAST + self.started.elapsed().as_micros() as u64
+    }
+
+    /// Moves the model on, and settles what has ended.
+    fn advance(&mut self) {
+        let now = self.now();
+        for id in self.model.advance(now) {
+            let Some(s) = self.sessions.get_mut(&id) else { continue };
+            s.done = true;
+            let (engine, trace) = (self.config.node.clone(), s.trace.clone());
+            if s.shape.posts && !s.shape.wrong && self.config.ledger.post(&trace).is_ok() {
+                self.config.recorder.write(Record::Posted {
+                    at: wall(),
+                    engine: engine.clone(),
+                    trace: trace.clone(),
+                });
+            }
+            self.config.recorder.write(Record::Done { at: wall(), engine, trace });
+            s.bell.notify(usize::MAX);
+        }
+    }
+
+    fn load(&self) -> String {
+        let load = self.model.load();
+        extra::text(&[("in_flight", load.in_flight as f64), ("cpu", load.cpu), ("memory", load.memory)])
+    }
+
+    fn trim(&mut self) {
+        while self.sessions.len() >= SESSIONS {
+            let Some(id) = self.sessions.iter().find(|(_, s)| s.done).map(|(id, _)| *id) else { break };
+            self.sessions.remove(&id);
+        }
+    }
+}
+
+/// Moves the model on for ever.
+async fn work(engine: Engine) {
+    loop {
+        let news = engine.1.listen();
+        let next = {
+            let mut inner = engine.0.borrow_mut();
+            inner.advance();
+            inner.model.next().map(|at| Duration::from_micros(at.saturating_sub(inner.now())))
+        };
+        future::or(news, async {
+            match next {
+                Some(wait) => Timer::after(wait).await,
+                None => future::pending().await,
+            };
+        })
+        .await;
+    }
+}
+
+async fn announce(engine: Engine, addr: SocketAddr) {
+    let (discovery, announcement) = {
+        let inner = engine.0.borrow();
+        let c = &inner.config;
+        let Some(discovery) = c.discovery else { return };
+        let properties = [
+            ("http", format!("http://{addr}")),
+            ("kind", c.kind.clone()),
+            ("node_version", "stand-in".into()),
+            ("coordinator", "false".into()),
+        ];
+        let service = AnnouncedService {
+            id: format!("{:032x}", u128::from(wall()) << 16 | u128::from(addr.port())),
+            kind: ENGINE_TYPE.into(),
+            properties: properties.map(|(k, v)| (k.to_owned(), v)).into(),
+        };
+        let announcement = Announcement {
+            environment: c.environment.clone(),
+            node_id: c.node.clone(),
+            pool: "general".into(),
+            location: format!("/{}/{}", c.zone, c.node),
+            services: vec![service],
+        };
+        (discovery, announcement)
+    };
+    let mut request = Request::new(Method::Put, format!("{ANNOUNCEMENT}{}", announcement.node_id));
+    request.body = serde_json::to_vec(&announcement).unwrap_or_default();
+    let request = request.with("Content-Type", "application/json").with("Connection", "close");
+    loop {
+        if engine.0.borrow().model.has_fallen() {
+            return;
+        }
+        if let Ok(mut c) = Connection::open(discovery, ANNOUNCE, Limits::default()).await {
+            let _ = c.exchange(&request, ANNOUNCE).await;
+        }
+        Timer::after(ANNOUNCE).await;
+    }
+}
+
+async fn engine_reply(engine: &Engine, request: Request, addr: SocketAddr) -> Reply {
+    if engine.0.borrow().model.has_fallen() {
+        return Reply::Close;
+    }
+    let path = request.path().to_owned();
+    if path == STATEMENT && request.method == Method::Post {
+        return post(engine, &request, addr);
+    }
+    if let Some(rest) = path.strip_prefix("/v1/statement/executing/") {
+        let mut parts = rest.split('/').map(str::parse::<u64>);
+        let (Some(Ok(id)), Some(Ok(page)), None) = (parts.next(), parts.next(), parts.next()) else {
+            return Response::text(404, "no such statement").into();
+        };
+        return match request.method {
+            Method::Delete => {
+                end(engine, id);
+                Response::new(204).into()
+            }
+            _ => poll(engine, id, page, addr).await,
+        };
+    }
+    let router = request.headers.get(extra::ROUTER).map(str::to_owned);
+    let mut inner = engine.0.borrow_mut();
+    match (path.as_str(), &request.method) {
+        ("/v1/info", Method::Get) => {
+            let uptime = inner.model.uptime(inner.now()) as f64 / 1e6;
+            let environment = &inner.config.environment;
+            let info = serde_json::json!({
+                "nodeVersion": { "version": "stand-in" }, "environment": environment, "coordinator": false,
+                "starting": false, "uptime": format!("{uptime:.3}s"),
+            });
+            Response::json(200, info.to_string()).into()
+        }
+        ("/v1/info/state", Method::Get) => {
+            if let (true, Some(router)) = (inner.draining, router) {
+                let engine = inner.config.node.clone();
+                inner.config.recorder.write(Record::ToldDrain { at: wall(), engine, router });
+            }
+            Response::json(200, if inner.draining { "\"SHUTTING_DOWN\"" } else { "\"ACTIVE\"" }).into()
+        }
+        ("/v1/info/state", Method::Put) if request.body == b"\"SHUTTING_DOWN\"" => {
+            inner.draining = true;
+            Response::new(200).into()
+        }
+        ("/v1/status", Method::Get) => {
+            inner.advance();
+            let load = inner.model.load();
+            let memory = (inner.config.spec.memory * 1e6) as u64;
+            let status = NodeStatus {
+                node_id: inner.config.node.clone(),
+                processors: inner.config.spec.cores as u32,
+                process_cpu_load: load.cpu,
+                heap_used: (load.memory * memory as f64) as u64,
+                heap_available: memory,
+            };
+            let body = serde_json::to_vec(&status).unwrap_or_default();
+            Response::json(200, body).with(extra::LOAD, &inner.load()).into()
+        }
+        ("/v1/standin/faults", Method::Put) => match serde_json::from_slice::<Faults>(&request.body) {
+            Ok(faults) => {
+                inner.config.fail(faults);
+                Response::new(204).into()
+            }
+            Err(e) => Response::text(400, &format!("faults: {e}")).into(),
+        },
+        _ => Response::text(404, "nothing here").into(),
+    }
+}
+
+/// Takes a statement.
+fn post(engine: &Engine, request: &Request, addr: SocketAddr) -> Reply {
+    let mut inner = engine.0.borrow_mut();
+    inner.advance();
+    let header = |name| request.headers.get(name).unwrap_or_default().to_owned();
+    let (class, router, statement) =
+        (header(extra::CLASS), header(extra::ROUTER), header(extra::STATEMENT_ID));
+    let trace = match header(client::names::TRACE) {
+        trace if trace.is_empty() => statement,
+        trace => trace,
+    };
+    let terms = header(extra::TERMS);
+    let hop = extra::number(&terms, "hop").unwrap_or(0.0) as u32;
+    let (node, kind) = (inner.config.node.clone(), inner.config.kind.clone());
+    inner.config.recorder.write(Record::Sent {
+        at: wall(),
+        engine: node.clone(),
+        kind,
+        router,
+        trace: trace.clone(),
+        class: class.clone(),
+        hop,
+    });
+    let hit = inner.config.faults.lock().ok().and_then(|mut f| f.hits(&class).then(|| f.clone()));
+    let faults = hit.unwrap_or_default();
+    let over = Record::Done { at: wall(), engine: node.clone(), trace: trace.clone() };
+    if faults.swallow {
+        inner.config.recorder.write(over);
+        return Reply::Close;
+    }
+    let text = String::from_utf8_lossy(&request.body).into_owned();
+    let seed = trace.bytes().fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
+    let mut shape = shape::of(&class, &text, seed);
+    shape.job.grant = extra::number(&terms, "grant_mb");
+    shape.job.priority = extra::number(&terms, "priority").map_or(1, |p| p.clamp(0.0, 3.0) as u8);
+    let now = inner.now();
+    let id = inner.next;
+    inner.next += 1;
+    let admission = if faults.full { Admission::Full } else { inner.model.admit(now, id, shape.job.clone()) };
+    match admission {
+        Admission::Full => {
+            inner.config.recorder.write(over);
+            return Response::text(503, "full").with(extra::LOAD, &inner.load()).into();
+        }
+        Admission::Fell => {
+            inner.config.recorder.write(Record::Fell { at: wall(), engine: node });
+            inner.sessions.clear();
+            return Reply::Close;
+        }
+        Admission::Taken => {}
+    }
+    inner.trim();
+    let session = Session {
+        trace,
+        failed: faults.fail || shape.wrong,
+        shape,
+        done: false,
+        faults: faults.clone(),
+        bell: Rc::new(Bell::new()),
+    };
+    inner.sessions.insert(id, session);
+    engine.1.notify(1);
+    if faults.hang {
+        return Reply::Never;
+    }
+    if faults.lose {
+        return Reply::Close;
+    }
+    if faults.garbage {
+        let junk = Response::text(200, "x");
+        return Reply::Cut(Response { body: b"\x00\x01not json".to_vec(), ..junk }, usize::MAX);
+    }
+    let load = inner.load();
+    results(id, addr, Some(0), Stats::of(State::Queued), None, None).with(extra::LOAD, &load).into()
+}
+
+fn end(engine: &Engine, id: u64) {
+    let mut inner = engine.0.borrow_mut();
+    let now = inner.now();
+    inner.advance();
+    if inner.model.cancel(now, id)
+        && let Some(s) = inner.sessions.get(&id)
+    {
+        let (engine, trace) = (inner.config.node.clone(), s.trace.clone());
+        inner.config.recorder.write(Record::Done { at: wall(), engine, trace });
+    }
+    if inner.sessions.get(&id).is_some_and(|s| s.done) || inner.config.spec.cancels {
+        inner.sessions.remove(&id);
+    }
+    engine.1.notify(1);
+}
+
+async fn poll(engine: &Engine, id: u64, page: u64, addr: SocketAddr) -> Reply {
+    let (bell, done, mute) = {
+        let mut inner = engine.0.borrow_mut();
+        inner.advance();
+        match inner.sessions.get(&id) {
+            None => return Response::text(410, "no such statement any more").into(),
+            Some(s) => (s.bell.clone(), s.done, s.faults.mute),
+        }
+    };
+    if mute {
+        return Reply::Never;
+    }
+    if !done {
+        let news = bell.listen();
+        if !engine.0.borrow().sessions.get(&id).is_some_and(|s| s.done) {
+            future::or(news, async {
+                Timer::after(LONG_POLL).await;
+            })
+            .await;
+        }
+    }
+    let mut inner = engine.0.borrow_mut();
+    inner.advance();
+    let load = inner.load();
+    let Some(s) = inner.sessions.get(&id) else {
+        return Response::text(410, "no such statement any more").into();
+    };
+    if !s.done {
+        let mut answer =
+            results(id, addr, Some(page), Stats::of(State::Running), None, None).with(extra::LOAD, &load);
+        if let (true, Some((done, stands))) = (inner.config.notes, inner.model.progress(id)) {
+            let note = if stands { ("waits", 1.0) } else { ("done", done) };
+            answer.headers.push(extra::NOTE, &extra::text(&[note]));
+        }
+        return answer.into();
+    }
+    if s.failed {
+        let error = match s.shape.wrong {
+            true => QueryError {
+                error_code: 1,
+                error_name: "SYNTAX_ERROR".into(),
+                error_type: ErrorType::UserError,
+                ..QueryError::of(ErrorName::EngineFailed, "line 1:8: mismatched input".into())
+            },
+            false => QueryError {
+                error_code: 0x0001_0000,
+                error_name: "GENERIC_INTERNAL_ERROR".into(),
+                error_type: ErrorType::InternalError,
+                ..QueryError::of(ErrorName::EngineFailed, "the stand-in fails on purpose".into())
+            },
+        };
+        return results(id, addr, None, Stats::of(State::Failed), None, Some(error)).into();
+    }
+    if page >= s.shape.pages {
+        return Response::text(404, "no such page").into();
+    }
+    let last = page + 1 == s.shape.pages;
+    let next = (!last).then_some(page + 1);
+    let rows = rows_of(&inner.config.node, s, page);
+    let cost = extra::text(&[("work_ms", s.shape.job.work / 1000.0)]);
+    let state = if last { State::Finished } else { State::Running };
+    let answer = results(id, addr, next, Stats::of(state), Some(rows), None)
+        .with(extra::LOAD, &load)
+        .with(extra::COST, &cost);
+    if s.faults.lose_page.is_some_and(|from| page >= from) {
+        return Reply::Close;
+    }
+    match s.faults.cut_page {
+        Some(most) => Reply::Cut(answer, most),
+        None => answer.into(),
+    }
+}
+
+/// Columns and rows of a page: the same whenever it is asked for.
+fn rows_of(node: &str, s: &Session, page: u64) -> (Box<RawValue>, Box<RawValue>, bool) {
+    // A varchar without a bound is one of the longest length.
+    let length = serde_json::json!([{ "kind": "LONG", "value": 2_147_483_647u32 }]);
+    let signature = |kind: &str| {
+        let arguments = if kind == "varchar" { length.clone() } else { serde_json::json!([]) };
+        serde_json::json!({ "rawType": kind, "arguments": arguments })
+    };
+    let column = |name: &str, kind: &str| serde_json::json!({ "name": name, "type": kind, "typeSignature": signature(kind) });
+    let raw = |value: &serde_json::Value| to_raw_value(value).unwrap_or_default();
+    if s.shape.posts {
+        let columns = serde_json::json!([column("rows", "bigint")]);
+        return (raw(&columns), raw(&serde_json::json!([[s.shape.rows]])), true);
+    }
+    let columns =
+        serde_json::json!([column("id", "bigint"), column("engine", "varchar"), column("note", "varchar")]);
+    let share = s.shape.rows / s.shape.pages;
+    let (from, to) =
+        (page * share, if page + 1 == s.shape.pages { s.shape.rows } else { (page + 1) * share });
+    let note = "x".repeat(s.shape.width);
+    let rows: Vec<_> = (from..to).map(|n| serde_json::json!([n, node, note])).collect();
+    (raw(&columns), raw(&serde_json::Value::Array(rows)), false)
+}
+
+fn results(
+    id: u64,
+    addr: SocketAddr,
+    next: Option<u64>,
+    stats: Stats,
+    rows: Option<(Box<RawValue>, Box<RawValue>, bool)>,
+    error: Option<QueryError>,
+) -> Response {
+    let changed = rows.as_ref().is_some_and(|r| r.2);
+    let (columns, data) = rows.map_or((None, None), |(c, d, _)| (Some(c), Some(d)));
+    let results = QueryResults {
+        id: format!("standin_{id}"),
+        info_uri: format!("http://{addr}/v1/query/{id}"),
+        next_uri: next.map(|page| format!("http://{addr}/v1/statement/executing/{id}/{page}")),
+        columns,
+        data,
+        stats,
+        error,
+        warnings: Vec::new(),
+        update_type: changed.then(|| "INSERT".into()),
+        update_count: changed.then_some(1),
+    };
+    Response::json(200, serde_json::to_vec(&results).unwrap_or_default())
+}
