--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -62,10 +62,7 @@
     /// Whether the server has closed it, or sent what nobody asked for, since it was last used.
     pub fn is_stale(&self) -> bool {
         let mut one = [0; 1];
-        match self.stream.get_ref().peek(&mut one) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => false,
-            _ => true,
-        }
+        !matches!(self.stream.get_ref().peek(&mut one), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
--- a/crates/router/src/engines/attempt.rs
+++ b/crates/router/src/engines/attempt.rs
@@ -249,12 +249,10 @@
         if last {
             return Ok(true);
         }
-        loop {
-            match self.control.recv().await {
-                Ok(Control::Fetch) => return Ok(false),
-                Ok(control) => return self.told(control),
-                Err(_) => return Err(Stop::Released),
-            }
+        match self.control.recv().await {
+            Ok(Control::Fetch) => Ok(false),
+            Ok(control) => self.told(control),
+            Err(_) => Err(Stop::Released),
         }
     }
 
--- a/crates/router/src/fronts/render.rs
+++ b/crates/router/src/fronts/render.rs
@@ -59,7 +59,7 @@
         (None, false) if a.running => State::Running,
         (None, false) => State::Queued,
     };
-    let error = over.and_then(|how| error(how));
+    let error = over.and_then(error);
     let hold_off = match over {
         Some(Final::Refused { hold_off, .. }) => *hold_off,
         _ => None,
@@ -158,6 +158,7 @@
         "starting": false,
         "name": service.settings.router.name,
         "life": service.life,
+        "engines": service.listed(),
         "openStatements": open,
         "answeredStatements": kept,
         "heldBytes": held,
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -282,6 +282,31 @@
         }
     }
 
+    /// The rules in the form that `hoptiller audit` reads (`rules.json`).
+    pub fn audit_rules(&self) -> serde_json::Value {
+        let micros = |d: Duration| d.as_micros() as u64;
+        let classes: serde_json::Map<String, serde_json::Value> = self
+            .classes
+            .iter()
+            .map(|c| {
+                let kinds = c.kinds.iter().flatten().map(|k| self.kinds[*k].0.clone());
+                let rules = serde_json::json!({
+                    "never_twice": c.repeat == RepeatSettings::Never,
+                    "in_order": c.in_order,
+                    "kinds": kinds.collect::<Vec<_>>(),
+                    "aim": micros(c.aim),
+                });
+                (c.name.clone(), rules)
+            })
+            .collect();
+        serde_json::json!({
+            "classes": classes,
+            "drain_grace": micros(self.rules.drain_grace),
+            "max_attempts": self.engines.max_attempts,
+            "budget": self.engines.budget.map(|b| (b.spare, b.ratio, micros(b.within))),
+        })
+    }
+
     /// The class of that name.
     pub fn class(&self, name: &str) -> Option<usize> {
         self.classes.iter().position(|c| c.name == name)
--- /dev/null
+++ b/crates/router/tests/common/mod.rs
@@ -0,0 +1,230 @@
+//! A whole path on loopback: discovery, engines, a router, scripted clients, and the auditor behind them.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use futures_lite::future;
+use hoptiller_audit::{Record, Recorder, Verdict, judge};
+use hoptiller_http::{Method, Request, Response};
+use hoptiller_router::{Service, Settings};
+use hoptiller_standin::Running;
+use hoptiller_standin::client::{Ask, Came, Client, Manner};
+use hoptiller_standin::discovery::DiscoveryConfig;
+use hoptiller_standin::engine::EngineConfig;
+use hoptiller_standin::ledger::Ledger;
+use serde_json::{Value, json};
+
+const EXAMPLE: &str = include_str!("../../../../examples/derby.jsonnet");
+
+pub struct Stage {
+    pub recorder: Recorder,
+    pub ledger: Ledger,
+    pub discovery: DiscoveryConfig,
+    pub engines: Vec<EngineConfig>,
+    running: Mutex<Vec<Option<Running>>>,
+    discovery_running: Running,
+    router: Option<Running>,
+    pub addr: SocketAddr,
+    pub settings: Settings,
+    next: AtomicU64,
+}
+
+/// The example's settings, quicker, with changes.
+pub fn settings(discovery: SocketAddr, change: impl FnOnce(&mut Value)) -> Settings {
+    let mut value = hoptiller_router::settings::evaluate("derby.jsonnet", EXAMPLE).expect("evaluates");
+    value["router"]["listen"] = json!("127.0.0.1:0");
+    value["router"]["state"] = Value::Null;
+    value["discovery"]["address"] = json!(discovery.to_string());
+    value["discovery"]["every"] = json!("50ms");
+    value["discovery"]["state_every"] = json!("50ms");
+    value["limits"] = json!({ "long_poll": "200ms" });
+    change(&mut value);
+    Settings::from_value("derby.jsonnet", &value).unwrap_or_else(|p| panic!("{p:?}"))
+}
+
+impl Stage {
+    pub fn new(engines: usize) -> Stage {
+        Stage::with(engines, |_| {}, |_| {})
+    }
+
+    /// A stage with changed settings and engines. All engines are of the kind that takes reports.
+    pub fn with(
+        engines: usize,
+        change: impl FnOnce(&mut Value),
+        engine: impl Fn(&mut EngineConfig),
+    ) -> Stage {
+        let recorder = Recorder::default();
+        let ledger = Ledger::default();
+        let keep = Duration::from_millis(1500);
+        let discovery = DiscoveryConfig { recorder: recorder.clone(), keep, ..DiscoveryConfig::default() };
+        let discovery_running = discovery.start().expect("discovery");
+        let settings = settings(discovery_running.addr, change);
+        let mut configs = Vec::new();
+        let mut running = Vec::new();
+        for n in 0..engines {
+            let mut config = EngineConfig::new(&format!("e{n}"), "std-8a", "hall-a");
+            config.discovery = Some(discovery_running.addr);
+            (config.recorder, config.ledger) = (recorder.clone(), ledger.clone());
+            engine(&mut config);
+            let started = config.start().expect("an engine");
+            config.listen = started.addr;
+            running.push(Some(started));
+            configs.push(config);
+        }
+        let (router, addr) = start_router(&settings);
+        let stage = Stage {
+            recorder,
+            ledger,
+            discovery,
+            engines: configs,
+            running: Mutex::new(running),
+            discovery_running,
+            router: Some(router),
+            addr,
+            settings,
+            next: AtomicU64::new(0),
+        };
+        stage.wait_for("the engines to be listed", |info| info["engines"] == json!(engines));
+        stage
+    }
+
+    pub fn discovery_addr(&self) -> SocketAddr {
+        self.discovery_running.addr
+    }
+
+    pub fn crash_engine(&self, n: usize) {
+        let running = self.running.lock().expect("whole")[n].take();
+        if let Some(running) = running {
+            running.crash();
+        }
+    }
+
+    pub fn start_engine(&self, n: usize) {
+        let started = self.engines[n].start().expect("an engine");
+        self.running.lock().expect("whole")[n] = Some(started);
+    }
+
+    pub fn crash_router(&mut self) {
+        if let Some(router) = self.router.take() {
+            self.recorder.write(Record::Killed { at: hoptiller_audit::now(), router: "r1".into() });
+            router.crash();
+        }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::new("r1", self.addr, self.recorder.clone())
+    }
+
+    pub fn ask(&self, class: &str, text: &str) -> Ask {
+        let request = self.next.fetch_add(1, Ordering::Relaxed);
+        Ask {
+            request,
+            trace: format!("t{request}.0"),
+            class: class.into(),
+            key: None,
+            text: text.into(),
+            patience: Duration::from_secs(6),
+            manner: Manner::default(),
+        }
+    }
+
+    /// Does one statement; what came, and the client that did it.
+    pub fn run(&self, ask: &Ask) -> (Came, Client) {
+        let mut client = self.client();
+        let came = future::block_on(client.run(ask));
+        (came, client)
+    }
+
+    pub fn get(&self, path: &str) -> Response {
+        future::block_on(self.client().get(path)).expect("an answer")
+    }
+
+    pub fn info(&self) -> Value {
+        serde_json::from_slice(&self.get("/v1/info").body).expect("JSON")
+    }
+
+    /// Waits, generously, until the router's info is as wanted.
+    pub fn wait_for(&self, what: &str, wanted: impl Fn(&Value) -> bool) {
+        let began = Instant::now();
+        while !wanted(&self.info()) {
+            assert!(began.elapsed() < Duration::from_secs(20), "waited in vain for {what}: {}", self.info());
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    pub fn records(&self) -> Vec<Record> {
+        let mut all = self.recorder.all().expect("records");
+        all.sort_by_key(Record::at);
+        all
+    }
+
+    /// Attempts that reached engines for a submission.
+    pub fn sent(&self, ask: &Ask) -> usize {
+        self.records()
+            .iter()
+            .filter(|r| matches!(r, Record::Sent { trace, .. } if *trace == ask.trace))
+            .count()
+    }
+
+    pub fn posted(&self, ask: &Ask) -> usize {
+        self.ledger.postings().get(&ask.trace).copied().unwrap_or(0)
+    }
+
+    pub fn verdict(&self) -> Verdict {
+        judge(&self.records(), &self.settings.rules_of_audit())
+    }
+
+    /// The auditor finds nothing wrong.
+    pub fn assert_rules_kept(&self) {
+        let verdict = self.verdict();
+        assert!(verdict.breaks.is_empty(), "{:#?}", verdict.breaks);
+    }
+}
+
+pub trait RulesOfAudit {
+    fn rules_of_audit(&self) -> hoptiller_audit::Rules;
+}
+
+impl RulesOfAudit for Settings {
+    fn rules_of_audit(&self) -> hoptiller_audit::Rules {
+        serde_json::from_value(self.audit_rules()).expect("the auditor's form")
+    }
+}
+
+/// A router on a thread of its own.
+pub fn start_router(settings: &Settings) -> (Running, SocketAddr) {
+    let settings = settings.clone();
+    let running = Running::new("router", move |spawner| {
+        let service =
+            Service::new(settings, b"secret", "lifelife".into(), spawner).map_err(std::io::Error::other)?;
+        service.start(Rc::new(|_| None))
+    })
+    .expect("a router");
+    let addr = running.addr;
+    (running, addr)
+}
+
+/// Puts a body to an address, for the stand-ins' own switches.
+pub fn put(addr: SocketAddr, path: &str, body: &str) -> Response {
+    future::block_on(async {
+        let limits = hoptiller_http::Limits::default();
+        let mut c = hoptiller_http::client::Connection::open(addr, Duration::from_secs(2), limits)
+            .await
+            .expect("open");
+        let mut request = Request::new(Method::Put, path);
+        request.body = body.as_bytes().to_vec();
+        c.exchange(&request, Duration::from_secs(2)).await.expect("an answer")
+    })
+}
+
+/// The path of an answer's `nextUri`.
+pub fn next_path(answer: &Response) -> Option<String> {
+    let value: Value = serde_json::from_slice(&answer.body).ok()?;
+    let uri = value["nextUri"].as_str()?;
+    let rest = uri.strip_prefix("http://")?;
+    Some(rest[rest.find('/')?..].to_owned())
+}
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -126,7 +126,8 @@
 impl Model {
     /// An engine that starts now; a warm one is as if it had started long ago.
     pub fn new(spec: Spec, now: u64, cold: bool) -> Model {
-        let started = if cold { now } else { now.saturating_sub(spec.cold_for) };
+        // Long enough ago for any router to count it as warm.
+        let started = if cold { now } else { now.saturating_sub(100 * spec.cold_for) };
         let (held, warm, sent) = Default::default();
         Model { spec, now, started, held, warm, sent, fallen: false }
     }
