--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod audit;
 pub mod check;
+pub mod day;
 pub mod demo;
 pub mod route;
 pub mod standin;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -36,6 +36,8 @@
     /// Runs a stand-in of what a router talks to.
     #[command(subcommand)]
     Standin(commands::standin::Args),
+    /// Plays a scripted day over sockets: routers, engines, clients and what goes wrong; then judges it.
+    Day(commands::day::Args),
     /// Judges the seven rules from a folder of records.
     Audit(commands::audit::Args),
 }
@@ -48,6 +50,7 @@
         Command::Route(args) => commands::route::run(&args),
         Command::Check(args) => commands::check::run(&args),
         Command::Standin(args) => commands::standin::run(&args),
+        Command::Day(args) => commands::day::run(&args),
         Command::Audit(args) => commands::audit::run(&args),
     };
     match done {
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -11,7 +11,7 @@
 
 use serde::Serialize;
 
-pub use jsonnet::evaluate;
+pub use jsonnet::{evaluate, evaluate_file};
 
 /// Something wrong in a file of settings.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -211,10 +211,8 @@
 impl Settings {
     /// Reads a file. All problems at once, each with its place.
     pub fn load(path: &Path) -> Result<Settings, Vec<Problem>> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path)
-            .map_err(|e| vec![Problem { place: name.clone(), what: format!("can't be read: {e}") }])?;
-        Settings::from_text(&name, &text)
+        let value = evaluate_file(path).map_err(|p| vec![p])?;
+        Settings::from_value(&path.display().to_string(), &value)
     }
 
     /// Reads a text, for files and for built-in examples; `name` stands in the places of problems.
@@ -303,6 +301,7 @@
             "classes": classes,
             "drain_grace": micros(self.rules.drain_grace),
             "max_attempts": self.engines.max_attempts,
+            "order_pause": micros(self.rules.order_pause),
             "budget": self.engines.budget.map(|b| (b.spare, b.ratio, micros(b.within))),
         })
     }
