--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -293,6 +293,9 @@
     }
 }
 
+/// An attempt's end is known by its client's answer, which is seen a little after it, in µs.
+const SEEN_LATER: u64 = 20_000;
+
 /// Rule 5. A router ends an attempt that may still run; behind that the key rests, and its turn passes on.
 fn order(records: &[Record], requests: &BTreeMap<u64, Request>, rules: &Rules, verdict: &mut Verdict) {
     let in_order = |class: &str| rules.classes.get(class).is_some_and(|c| c.in_order);
@@ -304,7 +307,7 @@
         .collect();
     let rested = |trace: &str, at: u64| {
         let over = keyed.get(trace).and_then(|(_, _, r)| r.finals.first());
-        over.is_some_and(|(end, _)| at >= end + rules.order_pause)
+        over.is_some_and(|(seen, _)| at + SEEN_LATER >= seen + rules.order_pause)
     };
     let mut running: BTreeMap<(&str, &str), BTreeSet<&str>> = BTreeMap::new();
     let mut newest: BTreeMap<(&str, &str), (u64, &str)> = BTreeMap::new();
