--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -552,7 +552,8 @@
                 }
                 let class = self.draw(&open);
                 let Some(id) = self.head(class, late) else { break };
-                if self.requests[&id].attempts > 0 && !self.may_try_again(&self.requests[&id]) {
+                let r = &self.requests[&id];
+                if (r.attempts > 0 && !self.may_try_again(r)) || self.ends_unknown(r) {
                     self.give_up(id, out);
                 } else if let Some(engine) = self.choose(id) {
                     self.send(id, engine, out);
@@ -563,6 +564,13 @@
         }
     }
 
+    /// Danger: what must not run twice, sent with less than a usual run to go, ends as one that may have run
+    /// and has to be looked up; refused while it is sure not to have run, it can be tried again.
+    fn ends_unknown(&self, r: &Request) -> bool {
+        let left = r.valid_until.saturating_sub(self.now) as f64;
+        self.cfg.classes[r.class].effect == Effect::Unsafe && left < self.classes[r.class].run
+    }
+
     fn head(&self, class: usize, late: bool) -> Option<RequestId> {
         self.classes[class].queue.range((late, 0, RequestId(0))..).next().filter(|r| r.0 == late).map(|r| r.2)
     }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -211,3 +211,17 @@
         (0..100).filter(|t| step(&mut c, S + (2 + t) * 20 * MS, &[]).contains(&Action::Subscribe)).count();
     assert_eq!(asks, 1);
 }
+
+#[test]
+fn an_unsafe_request_is_refused_while_it_is_sure_not_to_have_run_rather_than_sent_too_late() {
+    // A usual run is a tenth of the patience, 500 ms, until answers come.
+    for (effect, left, sent) in
+        [(Effect::Unsafe, 400, false), (Effect::Unsafe, 600, true), (Effect::Pure, 400, true)]
+    {
+        let mut c = Controller::new(settings(vec![class(effect)]), 1).expect("usable");
+        step(&mut c, S, &[arrival(1, 0, 6 * S)]);
+        let actions = step(&mut c, 6 * S - left * MS, &[list(Scope::All, &[1])]);
+        assert_eq!(sends(&actions).len(), usize::from(sent), "{effect:?} {left}");
+        assert_eq!(answers(&actions), if sent { vec![] } else { vec![(1, true)] }, "{effect:?} {left}");
+    }
+}
--- /dev/null
+++ b/crates/router/tests/core.rs
@@ -0,0 +1,324 @@
+//! The core without sockets: generated courses of clients and engines, checked against what every course keeps.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use hoptiller::{Ending, EngineId, Entry, Micros, Readiness, Scope};
+use hoptiller_router::Settings;
+use hoptiller_router::core::{
+    Answer, Bounds, Command, Content, Core, Ended, Failure, Final, Page, Poll, StatementId, Submission, Work,
+};
+use proptest::prelude::*;
+use serde_json::value::RawValue;
+
+const EXAMPLE: &str = include_str!("../../../examples/derby.jsonnet");
+const MS: Micros = 1_000;
+const START: Micros = 3_600_000 * MS;
+
+/// A client's step, an engine's step, or time that passes. Numbers choose among what there is.
+#[derive(Clone, Debug)]
+enum Step {
+    Submit(usize),
+    Poll(usize),
+    PollOld(usize),
+    PollAtOnce(usize),
+    Cancel(usize),
+    Page(usize, bool),
+    Ended(usize, u8),
+    Wrong(usize),
+    Pass(Micros),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let some = 0usize..64;
+    prop_oneof![
+        3 => (0usize..3).prop_map(Step::Submit),
+        6 => some.clone().prop_map(Step::Poll),
+        1 => some.clone().prop_map(Step::PollOld),
+        1 => some.clone().prop_map(Step::PollAtOnce),
+        1 => some.clone().prop_map(Step::Cancel),
+        5 => (some.clone(), any::<bool>()).prop_map(|(n, last)| Step::Page(n, last)),
+        2 => (some.clone(), 0u8..7).prop_map(|(n, e)| Step::Ended(n, e)),
+        1 => some.prop_map(Step::Wrong),
+        4 => (1u64..3_000).prop_map(|ms| Step::Pass(ms * MS)),
+    ]
+}
+
+/// What one client has seen.
+#[derive(Default)]
+struct Seen {
+    class: usize,
+    /// The number to ask for next, and the answer before it.
+    next: u64,
+    last: Option<Rc<Answer>>,
+    finals: u32,
+    /// The attempts whose rows came, by the text of the rows.
+    sources: Vec<String>,
+    left: bool,
+}
+
+struct World {
+    core: Core,
+    now: Micros,
+    clients: BTreeMap<StatementId, Seen>,
+    /// Attempts that run: statement and hop; whether they may give a page now.
+    out: Vec<(StatementId, u32, bool)>,
+    sends: BTreeMap<StatementId, Vec<(EngineId, Vec<Ending>)>>,
+    settled: BTreeMap<StatementId, Final>,
+    bounds: Bounds,
+}
+
+impl World {
+    fn new() -> World {
+        let settings = Settings::from_text("derby", EXAMPLE).expect("good");
+        let bounds = Bounds {
+            statements: 20,
+            answered: 10,
+            keep: 5_000 * MS,
+            abandon_after: 9_000 * MS,
+            held_bytes: 60,
+        };
+        let mut core = Core::new(settings.decisions(), 5, bounds).expect("usable");
+        let entry = |n: u32| Entry {
+            engine: EngineId(n),
+            zone: Some(0),
+            kind: Some(0),
+            cell: 0,
+            ready_at: 0,
+            readiness: Readiness::Up,
+        };
+        core.list(Scope::All, (0..3).map(entry).collect());
+        let (clients, sends, settled) = Default::default();
+        World { core, now: START, clients, out: Vec::new(), sends, settled, bounds }
+    }
+
+    fn round(&mut self) -> Result<(), TestCaseError> {
+        self.core.round(self.now);
+        while let Some(command) = self.core.command() {
+            match command {
+                Command::Send(a) => {
+                    let before = self.sends.entry(a.id).or_default();
+                    // What must not run twice goes again only where every attempt proved that it never ran.
+                    if a.class == 2 {
+                        let proof =
+                            |e: &Ending| matches!(e, Ending::Full | Ending::NoConnection | Ending::Moot);
+                        let proved = before.iter().all(|(_, ends)| ends.iter().any(proof));
+                        prop_assert!(proved, "a load was sent again: {before:?}");
+                    }
+                    before.push((a.engine, Vec::new()));
+                    prop_assert_eq!(a.hop as usize + 1, before.len());
+                    prop_assert!(a.until >= self.now);
+                    self.out.push((a.id, a.hop, true));
+                }
+                Command::Fetch { id, hop } => {
+                    for o in self.out.iter_mut().filter(|o| (o.0, o.1) == (id, hop)) {
+                        o.2 = true;
+                    }
+                }
+                Command::Withdraw { .. } => prop_assert!(false, "engines allow no withdrawing here"),
+                Command::Release { id, hop } => self.out.retain(|o| (o.0, o.1) != (id, hop)),
+                Command::Settled { id, how, .. } => {
+                    prop_assert!(self.settled.insert(id, how).is_none(), "settled twice");
+                }
+                Command::Probe(engine) => self.core.probed(engine, None),
+                Command::AskDiscovery | Command::Wake(_) => {}
+            }
+        }
+        let (open, kept, _) = self.core.sizes();
+        prop_assert!(open <= self.bounds.statements && kept <= self.bounds.answered, "{open} {kept}");
+        Ok(())
+    }
+
+    fn pick(&self, n: usize) -> Option<StatementId> {
+        let ids: Vec<StatementId> = self.clients.keys().copied().collect();
+        (!ids.is_empty()).then(|| ids[n % ids.len()])
+    }
+
+    fn take(&mut self, id: StatementId, page: u64, poll: Poll) -> Result<(), TestCaseError> {
+        let Poll::Answer(answer) = poll else { return Ok(()) };
+        let seen = self.clients.get_mut(&id).expect("known");
+        prop_assert_eq!(answer.page, page);
+        if let Some(last) = seen.last.as_ref().filter(|l| l.page == page) {
+            prop_assert!(Rc::ptr_eq(last, &answer), "another answer under the same number");
+            return Ok(());
+        }
+        prop_assert_eq!(seen.finals, 0, "an answer behind the final one");
+        seen.finals += u32::from(answer.is_final());
+        if let Content::Rows(page) = &answer.content {
+            seen.sources.extend(page.rows.as_ref().map(|r| r.get().to_owned()));
+        }
+        seen.next = page + 1;
+        seen.last = Some(answer);
+        let first = &seen.sources.first();
+        prop_assert!(
+            seen.sources.iter().all(|s| Some(s) == *first),
+            "rows of two attempts: {:?}",
+            seen.sources
+        );
+        Ok(())
+    }
+
+    fn play(&mut self, step: &Step) -> Result<(), TestCaseError> {
+        match *step {
+            Step::Submit(class) => {
+                let work = Rc::new(Work::default());
+                let (tenant, key, tables, repeat, patience) = Default::default();
+                let s = Submission { class, tenant, key, tables, repeat, patience, work };
+                match self.core.submit(self.now, s) {
+                    Ok(id) => {
+                        self.clients.insert(id, Seen { class, next: 0, ..Seen::default() });
+                        let poll = self.core.poll(self.now, id, 0);
+                        self.take(id, 0, poll)?;
+                    }
+                    Err(_) => prop_assert_eq!(self.core.sizes().0, self.bounds.statements),
+                }
+            }
+            Step::Poll(n) | Step::PollAtOnce(n) => {
+                if let Some(id) = self.pick(n) {
+                    let page = self.clients[&id].next;
+                    let poll = match step {
+                        Step::Poll(_) => self.core.poll(self.now, id, page),
+                        _ => self.core.poll_at_once(self.now, id, page),
+                    };
+                    let over = self.clients[&id].finals > 0;
+                    prop_assert!(!over || !matches!(poll, Poll::Answer(_)), "an answer behind the final one");
+                    self.take(id, page, poll)?;
+                }
+            }
+            Step::PollOld(n) => {
+                if let Some(id) = self.pick(n) {
+                    let last = self.clients[&id].next.saturating_sub(1);
+                    let poll = self.core.poll(self.now, id, last);
+                    prop_assert!(matches!(poll, Poll::Answer(_) | Poll::Gone));
+                    self.take(id, last, poll)?;
+                    if last > 0 {
+                        prop_assert!(matches!(self.core.poll(self.now, id, last - 1), Poll::Gone));
+                    }
+                    let far = self.core.poll(self.now, id, last + 2);
+                    prop_assert!(matches!(far, Poll::Unknown | Poll::Gone));
+                }
+            }
+            Step::Cancel(n) => {
+                if let Some(id) = self.pick(n) {
+                    self.core.cancel(self.now, id);
+                    self.clients.get_mut(&id).expect("known").left = true;
+                }
+            }
+            Step::Page(n, last) => {
+                let ready: Vec<usize> = (0..self.out.len()).filter(|i| self.out[*i].2).collect();
+                if !ready.is_empty() {
+                    let at = ready[n % ready.len()];
+                    let (id, hop, _) = self.out[at];
+                    let rows = RawValue::from_string(format!("[[\"{id}.{hop}\"]]")).expect("JSON");
+                    self.core.page(
+                        self.now,
+                        id,
+                        hop,
+                        Page { rows: Some(rows.into()), last, ..Page::default() },
+                    );
+                    match last {
+                        true => {
+                            self.out.remove(at);
+                        }
+                        false => self.out[at].2 = false,
+                    }
+                }
+            }
+            Step::Ended(n, how) => {
+                if !self.out.is_empty() {
+                    let (id, hop, _) = self.out.remove(n % self.out.len());
+                    let all = [
+                        Ending::Bad,
+                        Ending::Full,
+                        Ending::Late,
+                        Ending::NoConnection,
+                        Ending::Reset,
+                        Ending::Cancelled,
+                        Ending::Moot,
+                    ];
+                    let ending = all[usize::from(how)];
+                    if let Some(a) = self.sends.get_mut(&id).and_then(|s| s.get_mut(hop as usize)) {
+                        a.1.push(ending);
+                    }
+                    self.core.ended(self.now, id, hop, Ended { ending, why: "x".into(), report: None });
+                }
+            }
+            Step::Wrong(n) => {
+                if !self.out.is_empty() {
+                    let (id, hop, _) = self.out.remove(n % self.out.len());
+                    let failure = Failure { message: "x".into(), code: 1, name: "X".into() };
+                    self.core.wrong(self.now, id, hop, failure);
+                }
+            }
+            Step::Pass(time) => self.now += time,
+        }
+        self.round()
+    }
+
+    /// All engines end, all clients that have not left ask to the end.
+    fn finish(&mut self) -> Result<(), TestCaseError> {
+        for _ in 0..400 {
+            while let Some((id, hop, _)) = self.out.pop() {
+                let ended = Ended { ending: Ending::Late, why: "x".into(), report: None };
+                self.core.ended(self.now, id, hop, ended);
+            }
+            self.now += 100 * MS;
+            self.round()?;
+            let open: Vec<StatementId> =
+                self.clients.iter().filter(|(_, s)| s.finals == 0 && !s.left).map(|(id, _)| *id).collect();
+            for id in open {
+                let page = self.clients[&id].next;
+                let poll = self.core.poll(self.now, id, page);
+                self.take(id, page, poll)?;
+            }
+            self.round()?;
+        }
+        prop_assert_eq!(self.core.sizes().0, 0, "still open");
+        prop_assert_eq!(self.core.sizes().2, 0, "pages still held");
+        let gone: Vec<StatementId> = self.clients.keys().copied().collect();
+        let gone: Vec<StatementId> = gone.into_iter().filter(|id| self.forgotten(*id)).collect();
+        for (id, seen) in &self.clients {
+            let settled = self.settled.get(id);
+            prop_assert!(settled.is_some(), "{} was never settled", id);
+            // A client that went away for longer than it may is not waited for; all others were answered.
+            let away = matches!(settled, Some(Final::Abandoned | Final::Canceled));
+            prop_assert!(seen.finals == 1 || seen.left || away || gone.contains(id), "{id}: {:?}", settled);
+            // Unsafe work is refused only where no attempt can have run.
+            if let (2, Some(Final::Refused { .. })) = (seen.class, settled) {
+                let none = Vec::new();
+                let proof = |e: &Ending| matches!(e, Ending::Full | Ending::NoConnection | Ending::Moot);
+                let sends = self.sends.get(id).unwrap_or(&none);
+                prop_assert!(sends.iter().all(|(_, ends)| ends.iter().any(proof)), "{id}: {sends:?}");
+            }
+        }
+        Ok(())
+    }
+
+    /// Settled while its client was away for longer than answers are kept.
+    fn forgotten(&mut self, id: StatementId) -> bool {
+        matches!(self.core.poll(self.now, id, self.clients[&id].next), Poll::Gone)
+    }
+}
+
+fn fixed() -> ProptestConfig {
+    ProptestConfig {
+        cases: 500,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn every_course_ends_in_one_answer(steps in proptest::collection::vec(step(), 1..120)) {
+        let mut world = World::new();
+        world.round()?;
+        for step in &steps {
+            world.play(step)?;
+        }
+        world.finish()?;
+    }
+}
