Coarse timers for polls; no refusal from a run that nobody has seen yet; measure package

Change: hoptiller_http::Ticks, one timer for all coarse waits; the policy's exception waits for a first answer; a page of an attempt whose end was told is not taken; crates/measure with polls, latency and crowd.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use async_io::Async;
-use futures_lite::{AsyncRead, AsyncWrite};
+use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
 
 use crate::codec::{Decoder, Event, Limits, ParseError, Side};
-use crate::io::{read_into, within, write_all};
+use crate::io::{read_into, within};
 use crate::message::{Method, Request, Response, StartLine};
 
 /// Why there is no response.
@@ -81,7 +81,7 @@
     pub async fn exchange(&mut self, request: &Request, limit: Duration) -> Result<Response, ClientError> {
         self.reusable = false;
         let outcome = within(limit, async {
-            write_all(&mut self.stream, &request.encode(&self.host), limit).await?;
+            self.stream.write_all(&request.encode(&self.host)).await?;
             if request.method == Method::Head {
                 self.decoder.expect_no_body();
             }
--- a/crates/http/src/io.rs
+++ b/crates/http/src/io.rs
@@ -9,6 +9,7 @@
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future};
 
 use crate::codec::Decoder;
+use crate::ticks::Ticks;
 
 thread_local! {
     static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; 64 << 10]);
@@ -36,19 +37,16 @@
     .await
 }
 
-/// Writes all; `limit` is for each write that makes no progress, so that a slow reader is borne and one that
+/// Writes all; the limit is for each write that makes no progress, so that a slow reader is borne and one that
 /// stands still is not.
 pub(crate) async fn write_all<S: AsyncWrite + Unpin>(
     s: &mut S,
     mut bytes: &[u8],
     limit: Duration,
+    ticks: &Ticks,
 ) -> io::Result<()> {
     while !bytes.is_empty() {
-        let first = future::poll_once(s.write(bytes)).await;
-        let n = match first {
-            Some(done) => done?,
-            None => within(limit, s.write(bytes)).await?,
-        };
+        let n = ticks.within(limit, s.write(bytes)).await?;
         if n == 0 {
             return Err(io::ErrorKind::WriteZero.into());
         }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,7 +11,9 @@
 pub mod message;
 pub mod server;
 mod spawn;
+mod ticks;
 
 pub use codec::{Decoder, Event, Limits, ParseError, Side};
 pub use message::{Head, Headers, Method, Request, Response, StartLine, Status};
 pub use spawn::Spawner;
+pub use ticks::{TICK, Ticks};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -13,9 +13,10 @@
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future};
 
 use crate::codec::{Decoder, Event, Limits, ParseError, Side};
-use crate::io::{read_into, within, write_all};
+use crate::io::{read_into, write_all};
 use crate::message::{Request, Response, StartLine};
 use crate::spawn::Spawner;
+use crate::ticks::Ticks;
 
 /// What a server does with a connection.
 #[derive(Clone, Copy, Debug)]
@@ -77,6 +78,7 @@
     spawner: Spawner,
 ) -> io::Result<()> {
     let open = Rc::new(Cell::new(0usize));
+    let ticks = Ticks::new(&spawner);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -90,10 +92,10 @@
             continue; // Dropped, and so closed.
         }
         let place = Place::take(&open);
-        let handler = handler.clone();
+        let (handler, ticks) = (handler.clone(), ticks.clone());
         spawner.spawn(async move {
             let _ = stream.get_ref().set_nodelay(true);
-            let _ = converse(stream, config, &handler).await;
+            let _ = converse(stream, config, &handler, &ticks).await;
             drop(place);
         });
     }
@@ -120,16 +122,21 @@
     Async::<TcpListener>::bind(addr)
 }
 
-async fn converse(mut s: Async<TcpStream>, config: Config, handler: &Handler) -> io::Result<()> {
+async fn converse(
+    mut s: Async<TcpStream>,
+    config: Config,
+    handler: &Handler,
+    ticks: &Ticks,
+) -> io::Result<()> {
     let mut decoder = Decoder::new(Side::Requests, config.limits);
     loop {
-        let (request, keep) = match next_request(&mut s, &mut decoder, &config).await? {
+        let (request, keep) = match next_request(&mut s, &mut decoder, &config, ticks).await? {
             Ok(Some(next)) => next,
             Ok(None) => return Ok(()),
             Err(e) => {
                 let answer = Response::text(e.status(), &e.to_string());
-                write_all(&mut s, &answer.encode(true), config.stalled).await?;
-                return linger(s).await;
+                write_all(&mut s, &answer.encode(true), config.stalled, ticks).await?;
+                return linger(s, ticks).await;
             }
         };
         let head_only = request.method == crate::message::Method::Head;
@@ -139,7 +146,7 @@
                 if head_only {
                     bytes.truncate(bytes.len() - response.body.len());
                 }
-                write_all(&mut s, &bytes, config.stalled).await?;
+                write_all(&mut s, &bytes, config.stalled, ticks).await?;
                 if !keep {
                     return s.close().await;
                 }
@@ -147,7 +154,7 @@
             Reply::Close => return Ok(()),
             Reply::Cut(response, most) => {
                 let bytes = response.encode(false);
-                return write_all(&mut s, &bytes[..most.min(bytes.len())], config.stalled).await;
+                return write_all(&mut s, &bytes[..most.min(bytes.len())], config.stalled, ticks).await;
             }
             Reply::Never => return future::pending().await,
         }
@@ -155,19 +162,20 @@
 }
 
 /// Closes gently after an error answer: a reset would take the answer away from a peer that still writes.
-async fn linger(mut s: Async<TcpStream>) -> io::Result<()> {
+async fn linger(mut s: Async<TcpStream>, ticks: &Ticks) -> io::Result<()> {
     s.close().await?;
     let mut decoder = Decoder::new(Side::Requests, Limits::default());
-    within(Duration::from_secs(1), async {
-        for _ in 0..64 {
-            if read_into(&mut s, &mut decoder).await? == 0 {
-                break;
+    ticks
+        .within(Duration::from_secs(1), async {
+            for _ in 0..64 {
+                if read_into(&mut s, &mut decoder).await? == 0 {
+                    break;
+                }
+                decoder = Decoder::new(Side::Requests, Limits::default());
             }
-            decoder = Decoder::new(Side::Requests, Limits::default());
-        }
-        Ok(())
-    })
-    .await
+            Ok(())
+        })
+        .await
 }
 
 type Next = Result<Option<(Request, bool)>, ParseError>;
@@ -176,24 +184,14 @@
     s: &mut S,
     decoder: &mut Decoder,
     config: &Config,
+    ticks: &Ticks,
 ) -> io::Result<Next> {
     decoder.shrink();
-    if !decoder.inside() {
-        let first = future::poll_once(read_into(s, decoder)).await;
-        let n = match first {
-            Some(n) => n?,
-            None => within(config.idle, read_into(s, decoder)).await?,
-        };
-        if n == 0 {
-            return Ok(Ok(None));
-        }
+    if !decoder.inside() && ticks.within(config.idle, read_into(s, decoder)).await? == 0 {
+        return Ok(Ok(None));
     }
-    // What is whole already needs no timer. The part read stays in `request` when that look is given up.
     let mut request = None;
-    if let Some(whole) = future::poll_once(read_request(s, decoder, &mut request)).await {
-        return whole;
-    }
-    within(config.request_within, read_request(s, decoder, &mut request)).await
+    ticks.within(config.request_within, read_request(s, decoder, &mut request)).await
 }
 
 async fn read_request<S: AsyncRead + AsyncWrite + Unpin>(
@@ -207,7 +205,7 @@
             Ok(Some(Event::Head(head))) => {
                 let keep = head.keeps_alive();
                 if head.headers.lists("expect", "100-continue") {
-                    write_all(s, b"HTTP/1.1 100 Continue\r\n\r\n", Duration::from_secs(5)).await?;
+                    s.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
                 }
                 if let StartLine::Request { method, target } = head.start {
                     *request =
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,45 @@
+//! Measurements of the router, each beside a peer or a baseline in the same run. Loads end by themselves and go to
+//! loopback only.
+
+mod crowd;
+mod latency;
+mod load;
+mod polls;
+mod site;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// Measures the router. Run it in release, on a machine that is otherwise idle; read ratios, not single figures.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Polls a second of a router on one thread, beside a bare hyper server that sends the same bytes
+    Polls(polls::Args),
+    /// What the router adds over asking a stand-in engine directly
+    Latency(latency::Args),
+    /// Clients mid-poll on one router: memory, p99 of a poll, time of a round
+    Crowd(crowd::Args),
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Polls(args) => polls::run(&args),
+        Command::Latency(args) => latency::run(&args),
+        Command::Crowd(args) => crowd::run(&args),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("hoptiller-measure: {e}");
+            ExitCode::from(3)
+        }
+    }
+}
--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -567,8 +567,8 @@
     /// Danger: what must not run twice, sent with less than a usual run to go, ends as one that may have run
     /// and has to be looked up; refused while it is sure not to have run, it can be tried again.
     fn ends_unknown(&self, r: &Request) -> bool {
-        let left = r.valid_until.saturating_sub(self.now) as f64;
-        self.cfg.classes[r.class].effect == Effect::Unsafe && left < self.classes[r.class].run
+        let (left, s) = (r.valid_until.saturating_sub(self.now) as f64, &self.classes[r.class]);
+        self.cfg.classes[r.class].effect == Effect::Unsafe && s.seen > 0.0 && left < s.run
     }
 
     fn head(&self, class: usize, late: bool) -> Option<RequestId> {
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -348,7 +348,8 @@
         };
         let stage = std::mem::replace(&mut s.stage, Stage::Waiting);
         let (stage, taken) = match stage {
-            Stage::Waiting => {
+            // Danger: what an attempt gives after its end was told could stand beside a later attempt's rows.
+            Stage::Waiting if s.is_out(hop) => {
                 s.note_page(hop, now);
                 (Stage::Held { hop, page }, true)
             }
--- a/crates/router/src/core/statement.rs
+++ b/crates/router/src/core/statement.rs
@@ -103,6 +103,11 @@
         matches!(self.stage, Stage::Over(_))
     }
 
+    /// Whether an attempt's end has not been told.
+    pub(super) fn is_out(&self, hop: u32) -> bool {
+        self.attempts.get(hop as usize).is_some_and(|t| t.ended.is_none())
+    }
+
     /// Whether no attempt's outcome is still to come.
     pub(super) fn is_quiet(&self) -> bool {
         self.attempts.iter().all(|t| t.ended.is_some())
--- a/crates/router/src/fronts/http.rs
+++ b/crates/router/src/fronts/http.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::SystemTime;
 
-use async_io::{Async, Timer};
+use async_io::Async;
 use futures_lite::future;
 use hoptiller_http::server::{Config, Handler, Reply};
 use hoptiller_http::{Limits, Method, Request, Response};
@@ -165,7 +165,7 @@
 
 /// Waits for news as long as a poll waits.
 async fn wait(service: &Rc<Service>, id: StatementId, page: u64) -> Poll {
-    let mut time = Timer::after(service.settings.limits.long_poll);
+    let mut time = service.ticks.sleep(service.settings.limits.long_poll);
     loop {
         let news = service.listen(id);
         match service.with_core(|core, now| core.poll(now, id, page)) {
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -11,7 +11,7 @@
 use event_listener::{Event as Bell, EventListener};
 use futures_lite::future;
 use hoptiller::{EngineId, LoadReport, Micros, Progress, Scope};
-use hoptiller_http::Spawner;
+use hoptiller_http::{Spawner, Ticks};
 use hoptiller_statement::Key;
 
 use crate::core::{Bounds, Command, Core, Ended, Failure, Page, StatementId, ending_word};
@@ -48,6 +48,8 @@
     engines: Rc<Engines>,
     discovery: Rc<Discovery>,
     ex: Spawner,
+    /// Coarse timers, for the waits of polls.
+    pub ticks: Ticks,
     started: Instant,
     /// Rung when the core has something for a round.
     bell: Bell,
@@ -92,6 +94,7 @@
             engines: Rc::new(engines),
             discovery: Rc::new(Discovery::new(settings.clone())),
             settings,
+            ticks: Ticks::new(&ex),
             ex,
             started: Instant::now(),
             bell: Bell::new(),
