--- a/crates/http/src/codec/head.rs
+++ b/crates/http/src/codec/head.rs
@@ -11,7 +11,7 @@
         Side::Requests => request_line(lines.next().unwrap_or_default(), limits)?,
         Side::Responses => status_line(lines.next().unwrap_or_default())?,
     };
-    let mut headers = Headers::default();
+    let mut headers = Headers::with_room(text.len());
     for line in lines.filter(|l| !l.is_empty()) {
         if headers.len() == limits.fields {
             return Err(ParseError::HeadTooLarge);
--- a/crates/http/src/codec/mod.rs
+++ b/crates/http/src/codec/mod.rs
@@ -110,6 +110,9 @@
 
 impl std::error::Error for ParseError {}
 
+/// Bytes that an idle connection may keep for the next message.
+const IDLE: usize = 1 << 10;
+
 /// Longest line of a chunk size with its extensions, and of one trailer field.
 const CHUNK_LINE: usize = 256;
 
@@ -178,7 +181,11 @@
     /// Frees what an idle connection need not hold.
     pub fn shrink(&mut self) {
         if !self.inside() {
-            (self.buf, self.used, self.seen, self.line) = (Vec::new(), 0, 0, 0);
+            (self.used, self.seen, self.line) = (0, 0, 0);
+            match self.buf.capacity() > IDLE {
+                true => self.buf = Vec::new(),
+                false => self.buf.clear(),
+            }
         }
     }
 
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -105,11 +105,19 @@
         let at = self.text.len() as u32;
         self.text.push_str(name);
         let from = self.text.len() as u32;
-        self.text.extend(value.chars().map(|c| if c.is_control() { ' ' } else { c }));
+        match value.contains(char::is_control) {
+            false => self.text.push_str(value),
+            true => self.text.extend(value.chars().map(|c| if c.is_control() { ' ' } else { c })),
+        }
         let end = self.text.len() as u32;
         self.spans.push([at, from - at, from, end - from]);
     }
 
+    /// None yet, with room for some.
+    pub(crate) fn with_room(bytes: usize) -> Headers {
+        Headers { text: String::with_capacity(bytes), spans: Vec::with_capacity(8) }
+    }
+
     /// All fields, as name and value.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
         let cut = |from: u32, len: u32| &self.text[from as usize..(from + len) as usize];
@@ -195,7 +203,7 @@
 
     /// Its bytes on the wire.
     pub fn encode(&self, host: &str) -> Vec<u8> {
-        let mut head = String::with_capacity(256 + self.headers.text.len());
+        let mut head = String::with_capacity(256 + self.headers.text.len() + self.body.len());
         let _ = write!(head, "{} {} HTTP/1.1\r\nHost: {host}\r\n", self.method.as_str(), self.target);
         if !self.body.is_empty() || matches!(self.method, Method::Post | Method::Put) {
             let _ = write!(head, "Content-Length: {}\r\n", self.body.len());
@@ -240,8 +248,13 @@
 
     /// Its bytes on the wire; `close` announces that the connection ends behind it.
     pub fn encode(&self, close: bool) -> Vec<u8> {
-        let mut head = String::with_capacity(192 + self.headers.text.len());
-        let _ = write!(head, "HTTP/1.1 {} {}\r\n", self.status.0, self.status.phrase());
+        let mut head = String::with_capacity(160 + self.headers.text.len() + self.body.len());
+        match self.status.0 {
+            200 => head.push_str("HTTP/1.1 200 OK\r\n"),
+            code => {
+                let _ = write!(head, "HTTP/1.1 {code} {}\r\n", self.status.phrase());
+            }
+        }
         if self.status.0 >= 200 && self.status.0 != 204 && self.status.0 != 304 {
             let _ = write!(head, "Content-Length: {}\r\n", self.body.len());
         }
@@ -254,7 +267,7 @@
 
 fn finish(mut head: String, headers: &Headers, body: &[u8]) -> Vec<u8> {
     for (name, value) in headers.iter() {
-        let _ = write!(head, "{name}: {value}\r\n");
+        [name, ": ", value, "\r\n"].into_iter().for_each(|part| head.push_str(part));
     }
     head.push_str("\r\n");
     let mut bytes = head.into_bytes();
--- a/crates/measure/src/latency.rs
+++ b/crates/measure/src/latency.rs
@@ -7,8 +7,8 @@
 use hdrhistogram::Histogram;
 use hoptiller_http::{Request, Response};
 
-use crate::load::{Measured, closed};
-use crate::site::{Site, next, post};
+use crate::load::{Answered, closed};
+use crate::site::{Place, Site, next, post};
 
 #[derive(clap::Args)]
 pub struct Args {
@@ -21,6 +21,8 @@
     /// Statements under way; an engine of eight cores is half loaded by four
     #[arg(long, default_value_t = 4)]
     under_way: usize,
+    #[command(flatten)]
+    place: Place,
 }
 
 /// The request behind an answer: its `nextUri`, or a new statement.
@@ -36,7 +38,7 @@
 }
 
 pub fn run(args: &Args) -> io::Result<()> {
-    let site = Site::new(1, |_| {}, |_| {})?;
+    let site = Site::new(&args.place, 1, |_| {}, |_| {})?;
     let engine = site.engines[0].listen;
     let time = Duration::from_secs(args.seconds);
     // A statement is two exchanges: posted, and polled for its one page, which waits for the 20 ms of its work.
@@ -45,11 +47,11 @@
     let mut added = Vec::new();
     for pair in 0..args.pairs {
         let direct = closed(engine, 1, args.under_way, time, |_| statement(), follow);
-        let routed = closed(site.addr, 1, args.under_way, time, |_| statement(), follow);
+        let routed = closed(site.router.addr, 1, args.under_way, time, |_| statement(), follow);
         if direct.failed + routed.failed > 0 {
             return Err(io::Error::other("some exchanges failed"));
         }
-        let line = |name: &str, m: &Measured| {
+        let line = |name: &str, m: &Answered| {
             // Polls are the slower half of the exchanges.
             let (p50, p99) = (of(&m.times, 0.75), of(&m.times, 0.995));
             println!("{pair:>4} {name:>8} {p50:>10} {p99:>10} {:>10}", m.answered);
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -23,6 +23,9 @@
 enum Command {
     /// Polls a second of a router on one thread, beside a bare hyper server that sends the same bytes
     Polls(polls::Args),
+    /// The bare hyper server itself
+    #[command(hide = true)]
+    Bare(polls::BareArgs),
     /// What the router adds over asking a stand-in engine directly
     Latency(latency::Args),
     /// Clients mid-poll on one router: memory, p99 of a poll, time of a round
@@ -32,6 +35,7 @@
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Polls(args) => polls::run(&args),
+        Command::Bare(args) => polls::bare(&args),
         Command::Latency(args) => latency::run(&args),
         Command::Crowd(args) => crowd::run(&args),
     };
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -296,11 +296,6 @@
         self.settle(now, id, how);
     }
 
-    /// The class of a statement.
-    pub fn class_of(&self, id: StatementId) -> Option<usize> {
-        self.table.get(id).map(|s| s.class)
-    }
-
     /// What is known of a statement's course.
     pub fn course(&self, now: Micros, id: StatementId) -> Option<Course> {
         self.table.get(id).map(|s| s.course(now))
--- a/crates/router/src/core/page.rs
+++ b/crates/router/src/core/page.rs
@@ -98,6 +98,8 @@
 pub struct Answer {
     /// Its number.
     pub page: u64,
+    /// Its statement's class.
+    pub class: usize,
     /// What it holds.
     pub content: Content,
     /// Whether an engine had it.
--- a/crates/router/src/core/statement.rs
+++ b/crates/router/src/core/statement.rs
@@ -79,7 +79,15 @@
 impl Statement {
     pub(super) fn new(id: StatementId, s: &Submission, now: Micros, valid_until: Micros) -> Statement {
         let content = Content::News;
-        let first = Answer { page: 0, content, running: false, flowing: false, elapsed: 0, queued: 0 };
+        let first = Answer {
+            page: 0,
+            class: s.class,
+            content,
+            running: false,
+            flowing: false,
+            elapsed: 0,
+            queued: 0,
+        };
         Statement {
             id,
             class: s.class,
@@ -130,6 +138,7 @@
     pub(super) fn give(&mut self, now: Micros, content: Content) -> Rc<Answer> {
         let answer = Answer {
             page: self.last.page + 1,
+            class: self.class,
             flowing: self.last.flowing || matches!(content, Content::Rows(_)),
             content,
             running: !self.attempts.is_empty(),
--- a/crates/router/src/fronts/http.rs
+++ b/crates/router/src/fronts/http.rs
@@ -144,8 +144,8 @@
 }
 
 async fn poll(service: &Rc<Service>, token: &Token, base: &str) -> Response {
-    if token.id.life != service.life {
-        return render::earlier_life(service, token);
+    if token.id.life() != service.life {
+        return render::earlier_life(service, token, base);
     }
     let id: StatementId = token.id.number;
     // The ear is there before the question, so that no news falls between them.
@@ -190,14 +190,14 @@
 }
 
 fn cancel(service: &Rc<Service>, token: &Token) -> Response {
-    if token.id.life == service.life {
+    if token.id.life() == service.life {
         service.with_core(|core, now| core.cancel(now, token.id.number));
     }
     Response::new(204)
 }
 
 fn course(service: &Rc<Service>, id: &QueryId) -> Response {
-    if id.life != service.life {
+    if id.life() != service.life {
         return Response::text(410, "an earlier life of this router had that statement");
     }
     match service.with_core(|core, now| core.course(now, id.number)) {
--- a/crates/router/src/fronts/render.rs
+++ b/crates/router/src/fronts/render.rs
@@ -1,36 +1,95 @@
 //! Owns how answers look in JSON. The same answer gives the same bytes.
 
+use std::fmt::Write as _;
 use std::time::Duration;
 
 use hoptiller_http::Response;
-use hoptiller_statement::results::{QueryError, Stats};
-use hoptiller_statement::{ErrorName, ErrorType, QueryId, State, Token};
-use serde::Serialize;
-use serde_json::value::RawValue;
+use hoptiller_statement::results::QueryError;
+use hoptiller_statement::{ErrorName, ErrorType, Key, QueryId, State, Token};
 
 use super::http::{earlier, known};
 use crate::core::{Answer, Content, Course, Final, Page, ending_word};
 use crate::service::Service;
 
-#[derive(Serialize)]
-#[serde(rename_all = "camelCase")]
+/// What a `QueryResults` is written from. It is written by hand: polls are most of what a router answers.
 struct Results<'a> {
-    id: String,
-    info_uri: String,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    next_uri: Option<String>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    columns: Option<&'a RawValue>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    data: Option<&'a RawValue>,
-    stats: Stats,
-    #[serde(skip_serializing_if = "Option::is_none")]
+    id: &'a QueryId,
+    /// The next answer, by the base of URIs.
+    next: Option<&'a Token>,
+    base: &'a str,
+    page: &'a Page,
+    state: State,
+    running: bool,
+    elapsed_ms: u64,
+    queued_ms: u64,
     error: Option<QueryError>,
-    warnings: [(); 0],
-    #[serde(skip_serializing_if = "Option::is_none")]
-    update_type: Option<&'a str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    update_count: Option<u64>,
+}
+
+impl Results<'_> {
+    fn write(&self, key: &Key) -> String {
+        let held = self.page.columns.as_ref().map_or(0, |c| c.get().len())
+            + self.page.rows.as_ref().map_or(0, |r| r.get().len());
+        let mut out = String::with_capacity(768 + held);
+        out.push_str("{\"id\":\"");
+        out.push_str(self.id.as_str());
+        out.push_str("\",\"infoUri\":\"");
+        out.push_str(self.base);
+        key.push_course_path(&mut out, self.id);
+        if let Some(token) = self.next {
+            out.push_str("\",\"nextUri\":\"");
+            out.push_str(self.base);
+            key.push_path(&mut out, token);
+        }
+        out.push('"');
+        if let Some(columns) = &self.page.columns {
+            out.push_str(",\"columns\":");
+            out.push_str(columns.get());
+        }
+        if let Some(rows) = &self.page.rows {
+            out.push_str(",\"data\":");
+            out.push_str(rows.get());
+        }
+        let state = match self.state {
+            State::Queued => "QUEUED",
+            State::Running => "RUNNING",
+            State::Finished => "FINISHED",
+            _ => "FAILED",
+        };
+        out.push_str(",\"stats\":{\"state\":\"");
+        out.push_str(state);
+        out.push_str(if self.state == State::Queued { "\",\"queued\":true" } else { "\",\"queued\":false" });
+        out.push_str(if self.running { ",\"scheduled\":true" } else { ",\"scheduled\":false" });
+        // What is not known is 0, as clients expect the fields to be there.
+        let figures = [
+            (",\"nodes\":", u64::from(self.running)),
+            (
+                ",\"totalSplits\":0,\"queuedSplits\":0,\"runningSplits\":0,\"completedSplits\":0,\"cpuTimeMillis\":",
+                0,
+            ),
+            (",\"wallTimeMillis\":", self.elapsed_ms - self.queued_ms),
+            (",\"queuedTimeMillis\":", self.queued_ms),
+            (",\"elapsedTimeMillis\":", self.elapsed_ms),
+        ];
+        for (name, value) in figures {
+            out.push_str(name);
+            let _ = write!(out, "{value}");
+        }
+        out.push_str(",\"processedRows\":0,\"processedBytes\":0,\"peakMemoryBytes\":0}");
+        if let Some(error) = &self.error {
+            out.push_str(",\"error\":");
+            out.push_str(&serde_json::to_string(error).unwrap_or_else(|_| "{}".into()));
+        }
+        out.push_str(",\"warnings\":[]");
+        if let Some((kind, count)) = &self.page.update {
+            out.push_str(",\"updateType\":");
+            out.push_str(&serde_json::to_string(kind).unwrap_or_else(|_| "null".into()));
+            if let Some(count) = count {
+                let _ = write!(out, ",\"updateCount\":{count}");
+            }
+        }
+        out.push('}');
+        out
+    }
 }
 
 /// Whole seconds, rounded up, at least one: what `Retry-After` takes.
@@ -40,12 +99,9 @@
 
 /// A numbered answer.
 pub(super) fn answer(service: &Service, id: &QueryId, a: &Answer, base: &str) -> Response {
-    let class =
-        service.with_core(|core, _| core.class_of(id.number)).unwrap_or(service.settings.default_class);
-    let next = (!a.is_final()).then(|| {
-        let known = known(service, class, a.flowing);
-        let token = Token { id: id.clone(), page: a.page + 1, known };
-        format!("{base}{}", service.key.path(&token))
+    let token = (!a.is_final()).then(|| {
+        let known = known(service, a.class, a.flowing);
+        Token { id: id.clone(), page: a.page + 1, known }
     });
     let empty = Page::default();
     let (page, over) = match &a.content {
@@ -59,36 +115,23 @@
         (None, false) if a.running => State::Running,
         (None, false) => State::Queued,
     };
-    let error = over.and_then(error);
-    let hold_off = match over {
-        Some(Final::Refused { hold_off, .. }) => *hold_off,
-        _ => None,
-    };
-    let stats = Stats {
-        queued_time_millis: a.queued / 1000,
-        elapsed_time_millis: a.elapsed / 1000,
-        wall_time_millis: (a.elapsed - a.queued) / 1000,
-        nodes: u32::from(a.running),
-        ..Stats::of(state)
-    };
     let results = Results {
-        id: id.to_string(),
-        info_uri: format!("{base}{}", service.key.course_path(id)),
-        next_uri: next,
-        columns: page.columns.as_deref(),
-        data: page.rows.as_deref(),
-        stats,
-        error,
-        warnings: [],
-        update_type: page.update.as_ref().map(|u| u.0.as_str()),
-        update_count: page.update.as_ref().and_then(|u| u.1),
+        id,
+        next: token.as_ref(),
+        base,
+        page,
+        state,
+        running: a.running,
+        elapsed_ms: a.elapsed / 1000,
+        queued_ms: a.queued / 1000,
+        error: over.and_then(error),
     };
-    let mut response = Response::json(200, serde_json::to_vec(&results).unwrap_or_default());
+    let mut response = Response::json(200, results.write(&service.key));
     for (name, value) in &page.fields {
         response.headers.push(name, value);
     }
-    if let Some(after) = hold_off {
-        response.headers.push("Retry-After", &seconds(Duration::from_micros(after)));
+    if let Some(Final::Refused { hold_off: Some(after), .. }) = over {
+        response.headers.push("Retry-After", &seconds(Duration::from_micros(*after)));
     }
     response
 }
@@ -126,21 +169,20 @@
 }
 
 /// The answer for a URI of an earlier life of this router.
-pub(super) fn earlier_life(service: &Service, token: &Token) -> Response {
+pub(super) fn earlier_life(service: &Service, token: &Token, base: &str) -> Response {
     let (name, message) = earlier(token);
     let results = Results {
-        id: token.id.to_string(),
-        info_uri: String::new(),
-        next_uri: None,
-        columns: None,
-        data: None,
-        stats: Stats::of(State::Failed),
+        id: &token.id,
+        next: None,
+        base,
+        page: &Page::default(),
+        state: State::Failed,
+        running: false,
+        elapsed_ms: 0,
+        queued_ms: 0,
         error: Some(QueryError::of(name, message.to_owned())),
-        warnings: [],
-        update_type: None,
-        update_count: None,
     };
-    let response = Response::json(200, serde_json::to_vec(&results).unwrap_or_default());
+    let response = Response::json(200, results.write(&service.key));
     match name.is_harmless() {
         true => response.with("Retry-After", &seconds(service.settings.limits.hold_off)),
         false => response,
--- a/crates/statement/src/ids.rs
+++ b/crates/statement/src/ids.rs
@@ -4,49 +4,59 @@
 use std::fmt;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// A statement as clients know it.
+/// A statement as clients know it. It keeps its text: that is written into every answer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct QueryId {
-    /// Seconds since 1970.
-    at: u64,
+    text: String,
     /// Its number in that life.
     pub number: u64,
-    /// The life of its router.
-    pub life: String,
+    /// Where the life begins in the text.
+    life: usize,
 }
 
 impl QueryId {
-    /// An id for a statement that came at `at`.
+    /// An id for a statement that came at `at`, in a life whose name is letters and digits.
     pub fn new(at: SystemTime, number: u64, life: &str) -> QueryId {
         let at = at.duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_secs();
-        QueryId { at, number, life: life.to_owned() }
+        let (y, m, d) = date_of((at / 86_400) as i64);
+        let s = at % 86_400;
+        let (hour, minute, second) = (s / 3600, s / 60 % 60, s % 60);
+        let text = format!("{y:04}{m:02}{d:02}_{hour:02}{minute:02}{second:02}_{number:05}_{life}");
+        QueryId { life: text.len() - life.len(), text, number }
     }
 
-    /// Reads one; none where the text is no id.
+    /// Reads one; none where the text has not an id's form. Whether such an id was ever given out, its
+    /// authentication tells.
     pub fn parse(text: &str) -> Option<QueryId> {
         let digits = |s: &str| !s.is_empty() && s.bytes().all(|b| b.is_ascii_digit());
-        let parts: Vec<&str> = text.split('_').collect();
-        let [day, time, number, life] = parts[..] else { return None };
+        let mut parts = text.split('_');
+        let (Some(day), Some(time), Some(number), Some(life), None) =
+            (parts.next(), parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return None;
+        };
         let sizes = day.len() == 8 && time.len() == 6 && (5..=19).contains(&number.len());
         let name = !life.is_empty() && life.len() <= 16 && life.bytes().all(|b| b.is_ascii_alphanumeric());
         if !(sizes && name && digits(day) && digits(time) && digits(number)) {
             return None;
         }
-        let part = |s: &str| s.parse::<i64>().ok();
-        let days = days_from(part(&day[..4])?, part(&day[4..6])?, part(&day[6..])?);
-        let clock = part(&time[..2])? * 3600 + part(&time[2..4])? * 60 + part(&time[4..])?;
-        let at = u64::try_from(days * 86_400 + clock).ok()?;
-        let id = QueryId { at, number: number.parse().ok()?, life: life.to_owned() };
-        (id.to_string() == text).then_some(id)
+        Some(QueryId { text: text.to_owned(), number: number.parse().ok()?, life: text.len() - life.len() })
+    }
+
+    /// The life of its router.
+    pub fn life(&self) -> &str {
+        &self.text[self.life..]
+    }
+
+    /// Its text.
+    pub fn as_str(&self) -> &str {
+        &self.text
     }
 }
 
 impl fmt::Display for QueryId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (y, m, d) = date_of((self.at / 86_400) as i64);
-        let s = self.at % 86_400;
-        let (hour, minute, second) = (s / 3600, s / 60 % 60, s % 60);
-        write!(f, "{y:04}{m:02}{d:02}_{hour:02}{minute:02}{second:02}_{:05}_{}", self.number, self.life)
+        f.write_str(&self.text)
     }
 }
 
@@ -63,14 +73,6 @@
     (year + era * 400 + i64::from(month <= 2), month, date)
 }
 
-/// The inverse.
-fn days_from(y: i64, m: i64, d: i64) -> i64 {
-    let y = y - i64::from(m <= 2);
-    let (era, year) = (y.div_euclid(400), y.rem_euclid(400));
-    let of_year = (153 * ((m + 9) % 12) + 2) / 5 + d - 1;
-    era * 146_097 + year * 365 + year / 4 - year / 100 + of_year - 719_468
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -84,14 +86,13 @@
         }
         let wrong = [
             "",
-            "20261301_000000_00001_a",
+            "a_b_c_d",
             "20261201_000000_1_a",
             "20261201_000000_00001_",
-            "a_b_c_d",
-            "20261201_250000_00001_a",
-            "20261201_000000_000001_a",
             "20261201_000000_00001_a_b",
+            "20261201_000000_00001_a-b",
             "2026120é_000000_00001_a",
+            "20261201_000000_99999999999999999999_a",
         ];
         for text in wrong {
             assert_eq!(QueryId::parse(text), None, "{text}");
--- a/crates/statement/src/token.rs
+++ b/crates/statement/src/token.rs
@@ -1,7 +1,9 @@
 //! Owns the part of a `nextUri` that is ours: which page is asked for, and what was known of the statement
 //! when that URI was given out, authenticated. A router that lost all else answers truthfully from it.
 
-use data_encoding::{BASE32_NOPAD, Encoding};
+use std::fmt::Write as _;
+
+use data_encoding::BASE32_NOPAD;
 
 use crate::ids::QueryId;
 
@@ -62,9 +64,8 @@
 /// Bytes of the authentication code that travel: 2^-80 for a guess.
 const CODE: usize = 10;
 
-fn text_form() -> Encoding {
-    BASE32_NOPAD
-}
+/// The code's length in letters.
+const LETTERS: usize = 16;
 
 impl Key {
     /// The key of a router, from the secret that it keeps and its own name.
@@ -75,24 +76,47 @@
         Key(blake3::derive_key("hoptiller 2026 statement tokens", &material))
     }
 
-    fn code(&self, what: &str) -> String {
-        let hash = blake3::keyed_hash(&self.0, what.as_bytes());
-        text_form().encode(&hash.as_bytes()[..CODE]).to_ascii_lowercase()
+    fn code(&self, what: &[u8]) -> [u8; LETTERS] {
+        let hash = blake3::keyed_hash(&self.0, what);
+        let mut letters = [0; LETTERS];
+        BASE32_NOPAD.encode_mut(&hash.as_bytes()[..CODE], &mut letters);
+        letters.make_ascii_lowercase();
+        letters
+    }
+
+    /// Puts the path of a token below [`STATEMENT`](crate::STATEMENT) behind a text.
+    pub fn push_path(&self, out: &mut String, token: &Token) {
+        // Authenticated is the path without its code, so that nothing in it can be altered.
+        let from = out.len();
+        out.push_str("/v1/statement/");
+        out.push_str(phase_name(token.known.phase));
+        out.push('/');
+        out.push_str(token.id.as_str());
+        out.push('/');
+        out.push_str(repeat_name(token.known.repeat));
+        let slug = out.len();
+        out.push('/');
+        let _ = write!(out, "{}", token.page);
+        let code = self.code(&out.as_bytes()[from..]);
+        out.insert_str(slug, std::str::from_utf8(&code).unwrap_or_default());
     }
 
-    /// The path of a token below [`STATEMENT`](crate::STATEMENT).
+    /// The path of a token.
     pub fn path(&self, token: &Token) -> String {
-        let (phase, repeat) = (phase_name(token.known.phase), repeat_name(token.known.repeat));
-        let what = format!("{phase}/{}/{repeat}", token.id);
-        let code = self.code(&format!("{what}/{}", token.page));
-        format!("/v1/statement/{what}{code}/{}", token.page)
+        let mut path = String::with_capacity(96);
+        self.push_path(&mut path, token);
+        path
     }
 
     /// Reads the path of a token. Any change to any character makes it an error.
     pub fn read(&self, path: &str) -> Result<Token, TokenError> {
         let rest = path.strip_prefix("/v1/statement/").ok_or(TokenError)?;
-        let parts: Vec<&str> = rest.split('/').collect();
-        let [phase, id, slug, page] = parts[..] else { return Err(TokenError) };
+        let mut parts = rest.split('/');
+        let (Some(phase), Some(id), Some(slug), Some(page), None) =
+            (parts.next(), parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err(TokenError);
+        };
         let phase = [Phase::Waiting, Phase::Rows].into_iter().find(|p| phase_name(*p) == phase);
         let repeat = [Repeat::Safe, Repeat::Unsafe].into_iter().find(|r| slug.starts_with(repeat_name(*r)));
         let (Some(phase), Some(repeat), Some(id)) = (phase, repeat, QueryId::parse(id)) else {
@@ -105,9 +129,21 @@
         if same(self.path(&token).as_bytes(), path.as_bytes()) { Ok(token) } else { Err(TokenError) }
     }
 
+    /// Puts the path of a statement's course behind a text.
+    pub fn push_course_path(&self, out: &mut String, id: &QueryId) {
+        let from = out.len();
+        out.push_str("/v1/query/");
+        out.push_str(id.as_str());
+        let code = self.code(&out.as_bytes()[from..]);
+        out.push('/');
+        out.push_str(std::str::from_utf8(&code).unwrap_or_default());
+    }
+
     /// The path of a statement's course.
     pub fn course_path(&self, id: &QueryId) -> String {
-        format!("/v1/query/{id}/{}", self.code(&format!("course/{id}")))
+        let mut path = String::with_capacity(80);
+        self.push_course_path(&mut path, id);
+        path
     }
 
     /// Reads the path of a statement's course.
