Late counts by aim and work; spans of attempts; rounds pause by what they took

Need: the auditor called a report late by its aim alone; logs named statements by a bare number; a fixed pause of 1 ms behind each round was most of what the router added. Change: Done records the work, late is aim + stretch * work / threads; a span an attempt with statement, class, hop and engine, ids end as clients see them, reasons in the log; a round is followed by nine times its own time, tick at most.

--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -31,8 +31,14 @@
     pub in_order: bool,
     /// Machine kinds that it may run on; all where empty.
     pub kinds: BTreeSet<String>,
-    /// An answer within this is on time, in µs.
+    /// An answer within this is on time, in µs...
     pub aim: u64,
+    /// ...and later by this times its work over its threads.
+    #[serde(default)]
+    pub stretch: f64,
+    /// Threads that it runs on; 0 counts as 1.
+    #[serde(default)]
+    pub threads: f64,
 }
 
 /// A rule that was broken.
@@ -169,6 +175,13 @@
 
 /// Rule 1. A statement that its router held when it was killed is not owed; one that its client left neither.
 fn one_answer(records: &[Record], requests: &BTreeMap<u64, Request>, rules: &Rules, verdict: &mut Verdict) {
+    let works: BTreeMap<&str, u64> = records
+        .iter()
+        .filter_map(|r| match r {
+            Record::Done { trace, work, .. } if *work > 0 => Some((trace.as_str(), *work)),
+            _ => None,
+        })
+        .collect();
     let mut kills: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
     for record in records {
         if let Record::Killed { at, router } = record {
@@ -204,7 +217,10 @@
                     How::Failed => tally.failed += 1,
                 }
                 let answered = r.first_rows.map_or(*at, |rows| rows.min(*at));
-                let aim = rules.classes.get(r.class).map_or(u64::MAX, |c| c.aim);
+                let work = works.get(r.trace).copied().unwrap_or(0) as f64;
+                let aim = rules.classes.get(r.class).map_or(u64::MAX, |c| {
+                    c.aim + (c.stretch * work / if c.threads > 0.0 { c.threads } else { 1.0 }) as u64
+                });
                 tally.late += u64::from(*how == How::Served && answered - r.at.min(answered) > aim);
                 if !rest.is_empty() {
                     verdict.add(1, format!("request {number}: {} final answers", r.finals.len()));
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -56,7 +56,14 @@
     /// An attempt reached an engine.
     Sent { at: u64, engine: String, kind: String, router: String, trace: String, class: String, hop: u32 },
     /// The engine is done with it, however it ended.
-    Done { at: u64, engine: String, trace: String },
+    Done {
+        at: u64,
+        engine: String,
+        trace: String,
+        /// Work of all threads that it took, in µs; 0 where it was not done.
+        #[serde(default)]
+        work: u64,
+    },
     /// An effect was written to the ledger.
     Posted { at: u64, engine: String, trace: String },
     /// An engine's process began.
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -45,7 +45,7 @@
 }
 
 fn done(at: u64, trace: &str) -> Record {
-    Record::Done { at, engine: "e".into(), trace: trace.into() }
+    Record::Done { at, engine: "e".into(), trace: trace.into(), work: 0 }
 }
 
 /// A load that is refused once, submitted again and served; a lookup that moves on once; a report.
@@ -203,3 +203,20 @@
     assert_eq!(bad.len(), 3);
     assert!(bad[0].place.ends_with("a.jsonl:2"), "{bad:?}");
 }
+
+#[test]
+fn an_answer_is_late_by_its_aim_and_its_work() {
+    let mut rules = rules();
+    rules.classes.insert("lookup".into(), Class { aim: 100, stretch: 2.0, threads: 2.0, ..Class::default() });
+    let late = |answer| {
+        let done = Record::Done { at: 20, engine: "e".into(), trace: "b.0".into(), work: 50 };
+        let records = [
+            submitted(10, 1, "b.0", "lookup"),
+            Record::Taken { at: 11, request: 1 },
+            done,
+            answered(answer, 1, How::Served),
+        ];
+        judge(&records, &rules).classes["lookup"].late
+    };
+    assert_eq!((late(160), late(161)), (0, 1));
+}
--- a/crates/router/src/core/page.rs
+++ b/crates/router/src/core/page.rs
@@ -68,6 +68,15 @@
 }
 
 impl Final {
+    /// Why it was not served, for people.
+    pub fn why(&self) -> &str {
+        match self {
+            Final::Refused { why, .. } | Final::MayHaveRun(why) | Final::Cut(why) => why,
+            Final::Engine(failure) => &failure.message,
+            Final::Served | Final::Canceled | Final::Abandoned => "",
+        }
+    }
+
     /// A word for logs and metrics.
     pub fn word(&self) -> &'static str {
         match self {
--- a/crates/router/src/core/statement.rs
+++ b/crates/router/src/core/statement.rs
@@ -249,8 +249,7 @@
             Stage::Over(how) => how.word(),
         };
         let why = match &self.stage {
-            Stage::Over(Final::Refused { why, .. } | Final::MayHaveRun(why) | Final::Cut(why)) => why.clone(),
-            Stage::Over(Final::Engine(f)) => f.message.clone(),
+            Stage::Over(how) => how.why().to_owned(),
             _ => String::new(),
         };
         Course {
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -13,6 +13,7 @@
 use hoptiller::{EngineId, LoadReport, Micros, Progress, Scope};
 use hoptiller_http::{Spawner, Ticks};
 use hoptiller_statement::Key;
+use tracing::Instrument;
 
 use crate::core::{Bounds, Command, Core, Ended, Failure, Page, StatementId, ending_word};
 use crate::discovery::{Discovery, Listener};
@@ -195,7 +196,7 @@
         }
     }
 
-    /// Rounds for ever: when something has come, no closer together than the tick, and when one is due.
+    /// Rounds for ever: when something has come, and when one is due.
     async fn run_rounds(self: Rc<Self>) {
         let tick = self.settings.limits.tick;
         loop {
@@ -219,12 +220,19 @@
             let now = Report::now(&*self);
             self.core.borrow_mut().round(now);
             self.carry_out();
+            let took = began.elapsed();
             let (n, spent) = self.rounds.get();
-            self.rounds.set((n + 1, spent + began.elapsed()));
-            Timer::after(tick).await;
+            self.rounds.set((n + 1, spent + took));
+            // Rounds take a tenth of the thread at most; the tick is the longest pause.
+            Timer::after((took * 9).min(tick)).await;
         }
     }
 
+    /// The end of a statement's id, by which it is found in logs.
+    fn name_of(&self, id: StatementId) -> String {
+        format!("{id:05}_{}", self.life)
+    }
+
     /// Carries out what the core wants.
     fn carry_out(&self) {
         loop {
@@ -240,8 +248,11 @@
             Command::Send(attempt) => {
                 metrics::counter!("hoptiller_attempts_total").increment(1);
                 let engine = self.engines.name(attempt.engine);
-                tracing::debug!(statement = attempt.id, hop = attempt.hop, %engine, "sent");
-                self.ex.spawn(self.engines.clone().attempt(attempt, me));
+                let class = self.settings.classes[attempt.class].name.as_str();
+                let statement = self.name_of(attempt.id);
+                let span = tracing::debug_span!("attempt", %statement, class, hop = attempt.hop, %engine);
+                span.in_scope(|| tracing::debug!("sent"));
+                self.ex.spawn(self.engines.clone().attempt(attempt, me).instrument(span));
             }
             Command::Fetch { id, hop } => self.engines.control(id, hop, Control::Fetch),
             Command::Withdraw { id, hop } => self.engines.control(id, hop, Control::Withdraw),
@@ -262,7 +273,9 @@
                     .increment(1);
                 metrics::histogram!("hoptiller_answer_seconds", "class" => class.clone())
                     .record(after as f64 / 1e6);
-                tracing::info!(statement = id, %class, outcome, ms = after / 1000, attempts, "answered");
+                let statement = self.name_of(id);
+                let why = how.why();
+                tracing::info!(%statement, %class, outcome, ms = after / 1000, attempts, why, "answered");
             }
         }
     }
@@ -284,7 +297,8 @@
     fn ended(&self, id: StatementId, hop: u32, ended: Ended) {
         let how = ending_word(ended.ending);
         metrics::counter!("hoptiller_attempts_failed_total", "ending" => how).increment(1);
-        tracing::debug!(statement = id, hop, how, why = %ended.why, "an attempt ended");
+        // Inside the attempt's span, which names the statement and the engine.
+        tracing::debug!(how, why = %ended.why, "ended");
         self.with_core(|core, now| core.ended(now, id, hop, ended));
     }
 
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -293,6 +293,8 @@
                     "in_order": c.in_order,
                     "kinds": kinds.collect::<Vec<_>>(),
                     "aim": micros(c.aim),
+                    "stretch": c.stretch,
+                    "threads": c.threads,
                 });
                 (c.name.clone(), rules)
             })
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -160,7 +160,8 @@
                     trace: trace.clone(),
                 });
             }
-            self.config.recorder.write(Record::Done { at: wall(), engine, trace });
+            let work = s.shape.job.work as u64;
+            self.config.recorder.write(Record::Done { at: wall(), engine, trace, work });
             s.bell.notify(usize::MAX);
         }
     }
@@ -330,7 +331,7 @@
     });
     let hit = inner.config.faults.lock().ok().and_then(|mut f| f.hits(&class).then(|| f.clone()));
     let faults = hit.unwrap_or_default();
-    let over = Record::Done { at: wall(), engine: node.clone(), trace: trace.clone() };
+    let over = Record::Done { at: wall(), engine: node.clone(), trace: trace.clone(), work: 0 };
     if faults.swallow {
         inner.config.recorder.write(over);
         return Reply::Close;
@@ -389,7 +390,7 @@
         && let Some(s) = inner.sessions.get(&id)
     {
         let (engine, trace) = (inner.config.node.clone(), s.trace.clone());
-        inner.config.recorder.write(Record::Done { at: wall(), engine, trace });
+        inner.config.recorder.write(Record::Done { at: wall(), engine, trace, work: 0 });
     }
     if inner.sessions.get(&id).is_some_and(|s| s.done) || inner.config.spec.cancels {
         inner.sessions.remove(&id);
