--- a/crates/http/src/codec/mod.rs
+++ b/crates/http/src/codec/mod.rs
@@ -75,6 +75,8 @@
     BodyTooLarge,
     /// The peer closed in the middle.
     Cut,
+    /// Too much is coming in from all connections together; found by the server.
+    NoRoom,
 }
 
 impl ParseError {
@@ -86,6 +88,7 @@
             ParseError::HeadTooLarge => 431,
             ParseError::TargetTooLong => 414,
             ParseError::BodyTooLarge => 413,
+            ParseError::NoRoom => 503,
             _ => 400,
         }
     }
@@ -103,6 +106,7 @@
             ParseError::HeadTooLarge => write!(f, "start line and header fields pass the limit"),
             ParseError::TargetTooLong => write!(f, "the target passes the limit"),
             ParseError::BodyTooLarge => write!(f, "the content passes the limit"),
+            ParseError::NoRoom => write!(f, "too much is coming in; come back later"),
             ParseError::Cut => write!(f, "the connection closed in the middle of a message"),
         }
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -25,6 +25,8 @@
     pub limits: Limits,
     /// Connections at once; what comes beyond is closed.
     pub connections: usize,
+    /// Bytes of contents that are still coming in, of all connections together; one more is answered 503.
+    pub incoming: u64,
     /// Time from the first byte of a request to its last.
     pub request_within: Duration,
     /// Time that a connection may stand idle between requests.
@@ -38,6 +40,7 @@
         Config {
             limits: Limits::default(),
             connections: 32 << 10,
+            incoming: 256 << 20,
             request_within: Duration::from_secs(10),
             idle: Duration::from_secs(60),
             stalled: Duration::from_secs(20),
@@ -79,6 +82,7 @@
 ) -> io::Result<()> {
     let open = Rc::new(Cell::new(0usize));
     let ticks = Ticks::new(&spawner);
+    let incoming = Rc::new(Cell::new(0u64));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -92,10 +96,10 @@
             continue; // Dropped, and so closed.
         }
         let place = Place::take(&open);
-        let (handler, ticks) = (handler.clone(), ticks.clone());
+        let (handler, ticks, incoming) = (handler.clone(), ticks.clone(), incoming.clone());
         spawner.spawn(async move {
             let _ = stream.get_ref().set_nodelay(true);
-            let _ = converse(stream, config, &handler, &ticks).await;
+            let _ = converse(stream, config, &handler, &ticks, &incoming).await;
             drop(place);
         });
     }
@@ -127,10 +131,11 @@
     config: Config,
     handler: &Handler,
     ticks: &Ticks,
+    incoming: &Rc<Cell<u64>>,
 ) -> io::Result<()> {
     let mut decoder = Decoder::new(Side::Requests, config.limits);
     loop {
-        let (request, keep) = match next_request(&mut s, &mut decoder, &config, ticks).await? {
+        let (request, keep) = match next_request(&mut s, &mut decoder, &config, ticks, incoming).await? {
             Ok(Some(next)) => next,
             Ok(None) => return Ok(()),
             Err(e) => {
@@ -185,20 +190,46 @@
     decoder: &mut Decoder,
     config: &Config,
     ticks: &Ticks,
+    incoming: &Rc<Cell<u64>>,
 ) -> io::Result<Next> {
     decoder.shrink();
     if !decoder.inside() && ticks.within(config.idle, read_into(s, decoder)).await? == 0 {
         return Ok(Ok(None));
     }
-    let mut request = None;
-    ticks.within(config.request_within, read_request(s, decoder, &mut request)).await
+    let share = Share { all: incoming.clone(), own: 0, most: config.incoming };
+    ticks.within(config.request_within, read_request(s, decoder, share)).await
+}
+
+/// One request's part of the contents that are still coming in; given back when it is whole, or ends.
+struct Share {
+    all: Rc<Cell<u64>>,
+    own: u64,
+    most: u64,
+}
+
+impl Share {
+    fn take(&mut self, bytes: u64) -> bool {
+        let fits = self.all.get() + bytes <= self.most;
+        if fits {
+            self.all.set(self.all.get() + bytes);
+            self.own += bytes;
+        }
+        fits
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - self.own);
+    }
 }
 
 async fn read_request<S: AsyncRead + AsyncWrite + Unpin>(
     s: &mut S,
     decoder: &mut Decoder,
-    request: &mut Option<(Request, bool)>,
+    mut share: Share,
 ) -> io::Result<Next> {
+    let mut request: Option<(Request, bool)> = None;
     loop {
         match decoder.next() {
             Err(e) => return Ok(Err(e)),
@@ -208,16 +239,19 @@
                     s.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
                 }
                 if let StartLine::Request { method, target } = head.start {
-                    *request =
+                    request =
                         Some((Request { method, target, headers: head.headers, body: Vec::new() }, keep));
                 }
             }
             Ok(Some(Event::Body(part))) => {
-                if let Some((r, _)) = request {
+                if !share.take(part.len() as u64) {
+                    return Ok(Err(ParseError::NoRoom));
+                }
+                if let Some((r, _)) = &mut request {
                     r.body.extend_from_slice(&part);
                 }
             }
-            Ok(Some(Event::End)) => return Ok(Ok(request.take())),
+            Ok(Some(Event::End)) => return Ok(Ok(request)),
             Ok(None) => {
                 if read_into(s, decoder).await? == 0 {
                     return Ok(match decoder.finish() {
--- a/crates/router/src/fronts/http.rs
+++ b/crates/router/src/fronts/http.rs
@@ -23,6 +23,7 @@
     let config = Config {
         limits: Limits { body: l.statement_bytes, ..Limits::default() },
         connections: l.connections,
+        incoming: l.incoming_bytes,
         ..Config::default()
     };
     let ex = service.spawner().clone();
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -72,6 +72,10 @@
             "statements, connections, statement_bytes and page_bytes must be over 0".into(),
         );
     }
+    if l.incoming_bytes < l.statement_bytes {
+        let what = "is under limits.statement_bytes: not one such statement could come in";
+        note("limits.incoming_bytes".into(), what.into());
+    }
     if l.held_bytes < l.page_bytes {
         note("limits.held_bytes".into(), "is under limits.page_bytes: not one page could be held".into());
     }
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -190,6 +190,8 @@
     pub keep: Duration,
     /// Connections of clients.
     pub connections: usize,
+    /// Bytes of statements that are still coming in, all together.
+    pub incoming_bytes: u64,
     /// Bytes of a statement.
     pub statement_bytes: u64,
     /// Bytes of one page of rows.
--- a/crates/router/src/settings/read.rs
+++ b/crates/router/src/settings/read.rs
@@ -405,6 +405,7 @@
         let keep = self.duration(&mut o, "keep", Some("60s"));
         let connections = self.count(&mut o, "connections", Some(32_768));
         let statement_bytes = self.count(&mut o, "statement_bytes", Some(1 << 20));
+        let incoming_bytes = self.count(&mut o, "incoming_bytes", Some(256 << 20));
         let page_bytes = self.count(&mut o, "page_bytes", Some(16 << 20));
         let held_bytes = self.count(&mut o, "held_bytes", Some(512 << 20));
         let long_poll = self.duration(&mut o, "long_poll", Some("1s"));
@@ -419,6 +420,7 @@
             keep: keep?,
             connections: connections? as usize,
             statement_bytes: statement_bytes?,
+            incoming_bytes: incoming_bytes?,
             page_bytes: page_bytes?,
             held_bytes: held_bytes?,
             long_poll: long_poll?,
--- a/crates/router/tests/clients.rs
+++ b/crates/router/tests/clients.rs
@@ -280,3 +280,33 @@
     assert_eq!(course["attempts"][0]["ending"], json!("connection broken; it may have run"));
     assert_eq!(course["attempts"].as_array().map(Vec::len), Some(1));
 }
+
+#[test]
+fn what_comes_in_is_bounded_over_all_connections() {
+    let change = |v: &mut serde_json::Value| {
+        v["limits"]["statement_bytes"] = json!(1 << 20);
+        v["limits"]["incoming_bytes"] = json!(2 << 20);
+    };
+    let stage = Stage::with(1, change, |_| {});
+    let head = "POST /v1/statement HTTP/1.1\r\nHost: h\r\nX-Trino-User: a\r\nContent-Length: 1000000\r\n\r\n";
+    // Each sends most of a large statement, and holds the rest back.
+    let mut half: Vec<TcpStream> = (0..6)
+        .map(|_| {
+            let mut s = TcpStream::connect(stage.addr).expect("connected");
+            s.set_read_timeout(Some(Duration::from_secs(60))).expect("set");
+            let _ = s.write_all(head.as_bytes()).and_then(|()| s.write_all(&vec![b'x'; 900_000]));
+            s
+        })
+        .collect();
+    let answers: Vec<String> = half
+        .iter_mut()
+        .map(|s| {
+            let mut got = Vec::new();
+            let _ = s.read_to_end(&mut got);
+            String::from_utf8_lossy(&got).lines().next().unwrap_or_default().to_owned()
+        })
+        .collect();
+    let turned = answers.iter().filter(|a| a.contains("503")).count();
+    assert_eq!(turned, 4, "two have room, until their time is over: {answers:?}");
+    assert!(matches!(stage.run(&stage.ask("lookup", "SELECT 1 /* work=5ms */")).0, Came::Served(_)));
+}
--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -64,6 +64,7 @@
             "{ classes+: [super.classes[0] { name: 'x', holds: true }] }",
             "classes[3].holds: a class that holds",
         ),
+        ("{ limits: { incoming_bytes: 5 } }", "limits.incoming_bytes: is under limits.statement_bytes"),
         ("{ limits: { held_bytes: 5 } }", "limits.held_bytes: is under limits.page_bytes"),
         ("{ limits: { abandon_after: '1s' } }", "limits.abandon_after: must be twice"),
         ("{ limits: { tick: '0s' } }", "limits.tick: must be over 0"),
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -149,7 +149,10 @@
     /// Moves the model on, and settles what has ended.
     fn advance(&mut self) {
         let now = self.now();
-        for id in self.model.advance(now) {
+        let ended = self.model.advance(now);
+        let slow = self.config.faults.lock().ok().and_then(|f| f.slow).filter(|s| s.is_finite() && *s > 0.0);
+        self.model.set_speed(self.config.spec.speed / slow.unwrap_or(1.0));
+        for id in ended {
             let Some(s) = self.sessions.get_mut(&id) else { continue };
             s.done = true;
             let (engine, trace) = (self.config.node.clone(), s.trace.clone());
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -26,8 +26,10 @@
     pub lose_page: Option<u64>,
     /// Polls are never answered.
     pub mute: bool,
-    /// Answers with bytes that are no HTTP.
+    /// Answers with bytes that are no `QueryResults`.
     pub garbage: bool,
+    /// Works so many times slower, whatever it holds.
+    pub slow: Option<f64>,
 }
 
 impl Faults {
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -132,6 +132,11 @@
         Model { spec, now, started, held, warm, sent, fallen: false }
     }
 
+    /// Changes the speed of its cores from now on.
+    pub fn set_speed(&mut self, speed: f64) {
+        self.spec.speed = speed.max(1e-9);
+    }
+
     /// How long it has run, in µs.
     pub fn uptime(&self, now: u64) -> u64 {
         now.saturating_sub(self.started)
