Descriptors raised at start; each error name on the operators' page

Need: the tests and the router must not depend on a soft limit of 1,024 descriptors; error names must not drift from their page.

--- a/crates/cli/src/commands/day/mod.rs
+++ b/crates/cli/src/commands/day/mod.rs
@@ -35,6 +35,7 @@
 }
 
 pub fn run(args: &Args) -> Result<ExitCode, Failure> {
+    crate::run::raise_descriptors();
     let plan = Plan::load(&args.file)?;
     let outside = |e| Failure::Outside(format!("the report folder {}", args.report.display()), e);
     std::fs::create_dir_all(&args.report).map_err(outside)?;
--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -26,6 +26,7 @@
 }
 
 pub fn run(args: &Args) -> Result<ExitCode, Failure> {
+    run::raise_descriptors();
     let outside = |what: &str| {
         let what = what.to_owned();
         move |e| Failure::Outside(what, e)
--- a/crates/cli/src/commands/route.rs
+++ b/crates/cli/src/commands/route.rs
@@ -21,6 +21,15 @@
         Some(dir) => secret::load_or_make(dir)
             .map_err(|e| Failure::Outside(format!("the state folder {}", dir.display()), e))?,
     };
+    let descriptors = run::raise_descriptors();
+    // One for each client, and some for engines and the rest.
+    if descriptors < settings.limits.connections as u64 + 500 {
+        tracing::warn!(
+            descriptors,
+            connections = settings.limits.connections,
+            "the system permits fewer descriptors than limits.connections may need: raise `ulimit -n`, or lower it"
+        );
+    }
     run::block_on(async |spawner| {
         let extra = run::extra(run::metrics(&spawner));
         let service = Service::new(settings, &secret, secret::life(), spawner)
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -52,6 +52,17 @@
     }
 }
 
+/// Raises this process's limit of descriptors as far as it may: each client takes one.
+pub fn raise_descriptors() -> u64 {
+    use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+    let had = getrlimit(Resource::Nofile);
+    let raised = Rlimit { current: had.maximum, maximum: had.maximum };
+    match setrlimit(Resource::Nofile, raised) {
+        Ok(()) => had.maximum.unwrap_or(u64::MAX),
+        Err(_) => had.current.unwrap_or(u64::MAX),
+    }
+}
+
 /// Runs a command's task on an executor of this thread.
 pub fn block_on<T>(task: impl AsyncFnOnce(Spawner) -> T) -> T {
     let ex = Rc::new(LocalExecutor::new());
--- a/crates/router/src/fronts/render.rs
+++ b/crates/router/src/fronts/render.rs
@@ -8,7 +8,7 @@
 use hoptiller_statement::{ErrorName, ErrorType, Key, QueryId, State, Token};
 
 use super::http::{earlier, known};
-use crate::core::{Answer, Content, Course, Final, Page, ending_word};
+use crate::core::{Answer, Content, Course, Failure, Final, Page, ending_word};
 use crate::service::Service;
 
 /// What a `QueryResults` is written from. It is written by hand: polls are most of what a router answers.
@@ -155,12 +155,9 @@
             let message = format!("the result is cut: {why}. The rows given out are not all");
             QueryError::of(ErrorName::ResultCut, message)
         }
-        Final::Engine(failure) => QueryError {
-            error_code: failure.code,
-            error_name: failure.name.clone(),
-            error_type: ErrorType::UserError,
-            ..QueryError::of(ErrorName::EngineFailed, failure.message.clone())
-        },
+        Final::Engine(Failure { name, code, message }) => {
+            QueryError::new(name.clone(), *code, ErrorType::UserError, message.clone())
+        }
         Final::Canceled => QueryError::of(ErrorName::UserCanceled, "the client ended it".into()),
         Final::Abandoned => {
             QueryError::of(ErrorName::Abandoned, "the client had stopped asking for its result".into())
--- a/crates/router/tests/clients.rs
+++ b/crates/router/tests/clients.rs
@@ -241,6 +241,10 @@
 
 #[test]
 fn a_thousand_half_requests_hold_nobody_up_and_are_closed_in_time() {
+    // Both ends of each connection are in this process.
+    let had = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    let raised = rustix::process::Rlimit { current: had.maximum, maximum: had.maximum };
+    rustix::process::setrlimit(rustix::process::Resource::Nofile, raised).expect("raised");
     let stage = Stage::new(1);
     let mut half: Vec<TcpStream> = (0..1000)
         .map(|_| {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -18,7 +18,7 @@
 use hoptiller_http::{Limits, Method, Request, Response, Spawner};
 use hoptiller_statement::discovery::{ANNOUNCEMENT, AnnouncedService, Announcement, ENGINE_TYPE, NodeStatus};
 use hoptiller_statement::results::{QueryError, Stats};
-use hoptiller_statement::{ErrorName, ErrorType, QueryResults, STATEMENT, State, client, extra};
+use hoptiller_statement::{ErrorType, QueryResults, STATEMENT, State, client, extra};
 use serde_json::value::{RawValue, to_raw_value};
 
 use crate::Running;
@@ -438,20 +438,16 @@
         return answer.into();
     }
     if s.failed {
-        let error = match s.shape.wrong {
-            true => QueryError {
-                error_code: 1,
-                error_name: "SYNTAX_ERROR".into(),
-                error_type: ErrorType::UserError,
-                ..QueryError::of(ErrorName::EngineFailed, "line 1:8: mismatched input".into())
-            },
-            false => QueryError {
-                error_code: 0x0001_0000,
-                error_name: "GENERIC_INTERNAL_ERROR".into(),
-                error_type: ErrorType::InternalError,
-                ..QueryError::of(ErrorName::EngineFailed, "the stand-in fails on purpose".into())
-            },
+        let (name, code, kind, message) = match s.shape.wrong {
+            true => ("SYNTAX_ERROR", 1, ErrorType::UserError, "line 1:8: mismatched input"),
+            false => (
+                "GENERIC_INTERNAL_ERROR",
+                0x0001_0000,
+                ErrorType::InternalError,
+                "the stand-in fails on purpose",
+            ),
         };
+        let error = QueryError::new(name.into(), code, kind, message.into());
         return results(id, addr, None, Stats::of(State::Failed), None, Some(error)).into();
     }
     if page >= s.shape.pages {
--- a/crates/statement/src/error.rs
+++ b/crates/statement/src/error.rs
@@ -25,8 +25,6 @@
     MayHaveRun,
     /// Failed after rows were delivered: the result is cut short.
     ResultCut,
-    /// The engine that ran it answered with an error of its own, or with no valid answer.
-    EngineFailed,
     /// Its router was restarted; nothing was changed by it. Trying again is harmless.
     RouterRestarted,
     /// Ended at its client's wish.
@@ -37,11 +35,10 @@
 
 impl ErrorName {
     /// All of them, for the documentation and its test.
-    pub const ALL: [ErrorName; 7] = [
+    pub const ALL: [ErrorName; 6] = [
         ErrorName::Refused,
         ErrorName::MayHaveRun,
         ErrorName::ResultCut,
-        ErrorName::EngineFailed,
         ErrorName::RouterRestarted,
         ErrorName::UserCanceled,
         ErrorName::Abandoned,
@@ -53,7 +50,6 @@
             ErrorName::Refused => "HOPTILLER_REFUSED",
             ErrorName::MayHaveRun => "HOPTILLER_MAY_HAVE_RUN",
             ErrorName::ResultCut => "HOPTILLER_RESULT_CUT",
-            ErrorName::EngineFailed => "HOPTILLER_ENGINE_FAILED",
             ErrorName::RouterRestarted => "HOPTILLER_ROUTER_RESTARTED",
             ErrorName::UserCanceled => "USER_CANCELED",
             ErrorName::Abandoned => "ABANDONED_QUERY",
@@ -69,7 +65,6 @@
             ErrorName::RouterRestarted => 0x0002_F002,
             ErrorName::MayHaveRun => 0x0100_F001,
             ErrorName::ResultCut => 0x0100_F002,
-            ErrorName::EngineFailed => 0x0100_F003,
         }
     }
 
@@ -79,7 +74,7 @@
             ErrorName::UserCanceled => ErrorType::UserError,
             ErrorName::Abandoned => ErrorType::InternalError,
             ErrorName::Refused | ErrorName::RouterRestarted => ErrorType::InsufficientResources,
-            ErrorName::MayHaveRun | ErrorName::ResultCut | ErrorName::EngineFailed => ErrorType::External,
+            ErrorName::MayHaveRun | ErrorName::ResultCut => ErrorType::External,
         }
     }
 
@@ -88,3 +83,18 @@
         matches!(self, ErrorName::Refused | ErrorName::RouterRestarted)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    #[test]
+    fn names_and_codes_differ_and_the_operators_page_has_each() {
+        let page = include_str!("../../../docs/operating.md");
+        let names: BTreeSet<&str> = ErrorName::ALL.iter().map(|n| n.name()).collect();
+        let codes: BTreeSet<u32> = ErrorName::ALL.iter().map(|n| n.code()).collect();
+        assert_eq!((names.len(), codes.len()), (ErrorName::ALL.len(), ErrorName::ALL.len()));
+        assert!(names.iter().all(|n| page.contains(&format!("`{n}`"))), "{names:?}");
+    }
+}
--- a/crates/statement/src/results.rs
+++ b/crates/statement/src/results.rs
@@ -136,13 +136,13 @@
 impl QueryError {
     /// An error of the router.
     pub fn of(name: ErrorName, message: String) -> QueryError {
-        QueryError {
-            failure_info: FailureInfo { kind: name.name().to_owned(), message: message.clone() },
-            message,
-            error_code: name.code(),
-            error_name: name.name().to_owned(),
-            error_type: name.error_type(),
-        }
+        QueryError::new(name.name().to_owned(), name.code(), name.error_type(), message)
+    }
+
+    /// Any error.
+    pub fn new(name: String, code: u32, error_type: ErrorType, message: String) -> QueryError {
+        let failure_info = FailureInfo { kind: name.clone(), message: message.clone() };
+        QueryError { message, error_code: code, error_name: name, error_type, failure_info }
     }
 }
 
