--- a/crates/router/src/fronts/http.rs
+++ b/crates/router/src/fronts/http.rs
@@ -9,13 +9,11 @@
 use futures_lite::future;
 use hoptiller_http::server::{Config, Handler, Reply};
 use hoptiller_http::{Limits, Method, Request, Response};
-use hoptiller_statement::{ClientHeaders, Known, Phase, QueryId, Repeat, STATEMENT, Token};
+use hoptiller_statement::{ClientHeaders, QueryId, STATEMENT, Token};
 
 use super::render;
 use crate::core::{Poll, StatementId, Submission, Turned, Work};
-use crate::restart;
 use crate::service::{Extra, Service};
-use crate::settings::RepeatSettings;
 
 /// Answers clients for ever.
 pub async fn serve(service: Rc<Service>, listener: Async<TcpListener>, extra: Extra) -> io::Result<()> {
@@ -149,7 +147,6 @@
         return render::earlier_life(service, token, base);
     }
     let id: StatementId = token.id.number;
-    // The ear is there before the question, so that no news falls between them.
     let mut found = service.with_core(|core, now| core.poll(now, id, token.page));
     if matches!(found, Poll::Wait) {
         service.with_core(|core, now| core.waiting(now, id, true));
@@ -168,6 +165,7 @@
 async fn wait(service: &Rc<Service>, id: StatementId, page: u64) -> Poll {
     let mut time = service.ticks.sleep(service.settings.limits.long_poll);
     loop {
+        // The ear is there before the question, so that no news falls between them.
         let news = service.listen(id);
         match service.with_core(|core, now| core.poll(now, id, page)) {
             Poll::Wait => {}
@@ -206,17 +204,3 @@
         None => Response::text(410, "that statement is over, and its course is not kept any more"),
     }
 }
-
-/// What a URI tells of a statement of that class.
-pub(super) fn known(service: &Service, class: usize, flowing: bool) -> Known {
-    let repeat = match service.settings.classes[class].repeat {
-        RepeatSettings::Safe => Repeat::Safe,
-        RepeatSettings::Never => Repeat::Unsafe,
-    };
-    Known { repeat, phase: if flowing { Phase::Rows } else { Phase::Waiting } }
-}
-
-/// The answer for a URI of an earlier life.
-pub(super) fn earlier(token: &Token) -> (hoptiller_statement::ErrorName, &'static str) {
-    restart::answer(token.known)
-}
--- a/crates/router/src/fronts/render.rs
+++ b/crates/router/src/fronts/render.rs
@@ -5,11 +5,12 @@
 
 use hoptiller_http::Response;
 use hoptiller_statement::results::QueryError;
-use hoptiller_statement::{ErrorName, ErrorType, Key, QueryId, State, Token};
+use hoptiller_statement::{ErrorName, ErrorType, Key, Known, Phase, QueryId, Repeat, State, Token};
 
-use super::http::{earlier, known};
 use crate::core::{Answer, Content, Course, Failure, Final, Page, ending_word};
+use crate::restart;
 use crate::service::Service;
+use crate::settings::RepeatSettings;
 
 /// What a `QueryResults` is written from. It is written by hand: polls are most of what a router answers.
 struct Results<'a> {
@@ -165,9 +166,18 @@
     })
 }
 
+/// What a URI tells of a statement of that class.
+fn known(service: &Service, class: usize, flowing: bool) -> Known {
+    let repeat = match service.settings.classes[class].repeat {
+        RepeatSettings::Safe => Repeat::Safe,
+        RepeatSettings::Never => Repeat::Unsafe,
+    };
+    Known { repeat, phase: if flowing { Phase::Rows } else { Phase::Waiting } }
+}
+
 /// The answer for a URI of an earlier life of this router.
 pub(super) fn earlier_life(service: &Service, token: &Token, base: &str) -> Response {
-    let (name, message) = earlier(token);
+    let (name, message) = restart::answer(token.known);
     let results = Results {
         id: &token.id,
         next: None,
