A poll answered for another statement ends the attempt: a restarted engine's URIs repeat

Need: on one core a load at an engine that crashed and restarted came back as served, with 300 rows of a report: the new process had given the same URI to another statement. A client would have been given another's rows, and a load called done. Change: an attempt remembers the engine's id of its statement; an answer with another id is a broken attempt that may have run. The stand-in tells its processes apart in ids, not in URIs.

--- a/crates/router/src/engines/attempt.rs
+++ b/crates/router/src/engines/attempt.rs
@@ -45,8 +45,9 @@
     addr: SocketAddr,
     control: Receiver<Control>,
     report: &'a dyn Report,
-    /// Where to ask next.
+    /// Where to ask next, and the engine's own id of the statement.
     next: Option<String>,
+    query: Option<String>,
     columns: Option<Rc<RawValue>>,
     /// A page has been passed on: no time limit any more, the client's reading sets the pace.
     flowing: bool,
@@ -58,8 +59,8 @@
         let why = "the engine is not listed any more".to_owned();
         return report.ended(a.id, a.hop, Ended { ending: Ending::Moot, why, report: None });
     };
-    let (next, columns, flowing) = (None, None, false);
-    let mut run = Run { engines, a, addr, control, report, next, columns, flowing };
+    let (next, query, columns, flowing) = (None, None, None, false);
+    let mut run = Run { engines, a, addr, control, report, next, query, columns, flowing };
     match run.all().await {
         Ok(()) => {}
         Err(Stop::Ended(ended)) => {
@@ -205,6 +206,10 @@
             Ok(results) => results,
             Err(e) => return stop(Ending::Bad, format!("the engine's answer is no QueryResults: {e}")),
         };
+        // Danger: an engine that was restarted meanwhile can have another statement under the same URI.
+        if *self.query.get_or_insert_with(|| results.id.clone()) != results.id {
+            return stop(Ending::Reset, "the engine answered for another statement");
+        }
         let report = load_of_headers(answer);
         if let Some(error) = results.error {
             let why = format!("{}: {}", error.error_name, error.message);
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -210,14 +210,19 @@
 
 /// Puts a body to an address, for the stand-ins' own switches.
 pub fn put(addr: SocketAddr, path: &str, body: &str) -> Response {
+    let mut request = Request::new(Method::Put, path);
+    request.body = body.as_bytes().to_vec();
+    send_to(addr, &request)
+}
+
+/// One exchange with an address.
+pub fn send_to(addr: SocketAddr, request: &Request) -> Response {
     future::block_on(async {
         let limits = hoptiller_http::Limits::default();
         let mut c = hoptiller_http::client::Connection::open(addr, Duration::from_secs(2), limits)
             .await
             .expect("open");
-        let mut request = Request::new(Method::Put, path);
-        request.body = body.as_bytes().to_vec();
-        c.exchange(&request, Duration::from_secs(2)).await.expect("an answer")
+        c.exchange(request, Duration::from_secs(2)).await.expect("an answer")
     })
 }
 
--- a/crates/router/tests/failures.rs
+++ b/crates/router/tests/failures.rs
@@ -277,3 +277,23 @@
     std::thread::sleep(Duration::from_millis(1500));
     stage.assert_rules_kept();
 }
+
+#[test]
+fn an_engine_that_has_another_statement_under_the_same_uri_is_not_believed() {
+    let stage = Stage::new(1);
+    let load = stage.ask("rent-load", "INSERT /* work=6s threads=2 */");
+    std::thread::scope(|s| {
+        let posting = s.spawn(|| stage.run(&load).0);
+        while stage.sent(&load) == 0 {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        // The new process gives its first statement the URI that the old one gave the load.
+        stage.crash_engine(0);
+        stage.start_engine(0);
+        let other = hoptiller_http::Request::new(hoptiller_http::Method::Post, "/v1/statement");
+        let body = b"SELECT 1 /* work=5ms rows=9 */".to_vec();
+        common::send_to(stage.engines[0].listen, &hoptiller_http::Request { body, ..other });
+        assert_eq!(posting.join().expect("ends"), Came::Failed(MAY_HAVE_RUN.into()));
+    });
+    assert_eq!((stage.sent(&load), stage.posted(&load)), (1, 0));
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -108,6 +108,8 @@
 struct Inner {
     config: EngineConfig,
     started: Instant,
+    /// Tells this process from the one before; its URIs do not.
+    process: u64,
     model: Model,
     sessions: BTreeMap<u64, Session>,
     next: u64,
@@ -124,8 +126,15 @@
     let addr = listener.get_ref().local_addr()?;
     config.recorder.write(Record::Started { at: wall(), engine: config.node.clone(), cold: config.cold });
     let model = Model::new(config.spec.clone(), PAST, config.cold);
-    let inner =
-        Inner { started: Instant::now(), model, sessions: BTreeMap::new(), next: 0, draining: false, config };
+    let inner = Inner {
+        started: Instant::now(),
+        process: wall(),
+        model,
+        sessions: BTreeMap::new(),
+        next: 0,
+        draining: false,
+        config,
+    };
     let engine: Engine = Rc::new((RefCell::new(inner), Bell::new()));
     spawner.spawn(work(engine.clone()));
     spawner.spawn(announce(engine.clone(), addr));
@@ -382,7 +391,9 @@
         return Reply::Cut(Response { body: b"\x00\x01not json".to_vec(), ..junk }, usize::MAX);
     }
     let load = inner.load();
-    results(id, addr, Some(0), Stats::of(State::Queued), None, None).with(extra::LOAD, &load).into()
+    results((inner.process, id), addr, Some(0), Stats::of(State::Queued), None, None)
+        .with(extra::LOAD, &load)
+        .into()
 }
 
 fn end(engine: &Engine, id: u64) {
@@ -430,7 +441,8 @@
     };
     if !s.done {
         let mut answer =
-            results(id, addr, Some(page), Stats::of(State::Running), None, None).with(extra::LOAD, &load);
+            results((inner.process, id), addr, Some(page), Stats::of(State::Running), None, None)
+                .with(extra::LOAD, &load);
         if let (true, Some((done, stands))) = (inner.config.notes, inner.model.progress(id)) {
             let note = if stands { ("waits", 1.0) } else { ("done", done) };
             answer.headers.push(extra::NOTE, &extra::text(&[note]));
@@ -448,7 +460,7 @@
             ),
         };
         let error = QueryError::new(name.into(), code, kind, message.into());
-        return results(id, addr, None, Stats::of(State::Failed), None, Some(error)).into();
+        return results((inner.process, id), addr, None, Stats::of(State::Failed), None, Some(error)).into();
     }
     if page >= s.shape.pages {
         return Response::text(404, "no such page").into();
@@ -458,7 +470,7 @@
     let rows = rows_of(&inner.config.node, s, page);
     let cost = extra::text(&[("work_ms", s.shape.job.work / 1000.0)]);
     let state = if last { State::Finished } else { State::Running };
-    let answer = results(id, addr, next, Stats::of(state), Some(rows), None)
+    let answer = results((inner.process, id), addr, next, Stats::of(state), Some(rows), None)
         .with(extra::LOAD, &load)
         .with(extra::COST, &cost);
     if s.faults.lose_page.is_some_and(|from| page >= from) {
@@ -495,7 +507,7 @@
 }
 
 fn results(
-    id: u64,
+    (process, id): (u64, u64),
     addr: SocketAddr,
     next: Option<u64>,
     stats: Stats,
@@ -505,7 +517,7 @@
     let changed = rows.as_ref().is_some_and(|r| r.2);
     let (columns, data) = rows.map_or((None, None), |(c, d, _)| (Some(c), Some(d)));
     let results = QueryResults {
-        id: format!("standin_{id}"),
+        id: format!("standin_{process:x}_{id}"),
         info_uri: format!("http://{addr}/v1/query/{id}"),
         next_uri: next.map(|page| format!("http://{addr}/v1/statement/executing/{id}/{page}")),
         columns,
