--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -170,6 +170,15 @@
             .count()
     }
 
+    /// Waits, generously, until an attempt has reached an engine.
+    pub fn wait_until_sent(&self, ask: &Ask) {
+        let began = Instant::now();
+        while self.sent(ask) == 0 {
+            assert!(began.elapsed() < Duration::from_secs(20), "{} is not sent", ask.trace);
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     pub fn posted(&self, ask: &Ask) -> usize {
         self.ledger.postings().get(&ask.trace).copied().unwrap_or(0)
     }
--- a/crates/router/tests/failures.rs
+++ b/crates/router/tests/failures.rs
@@ -216,9 +216,7 @@
     let running = stage.ask("report", "SELECT 1 /* work=1s threads=2 rows=9 */");
     std::thread::scope(|s| {
         let run = s.spawn(|| stage.run(&running).0);
-        while stage.sent(&running) == 0 {
-            std::thread::sleep(Duration::from_millis(5));
-        }
+        stage.wait_until_sent(&running);
         let had = stage.records().into_iter().find_map(|r| match r {
             hoptiller_audit::Record::Sent { engine, .. } => Some(engine),
             _ => None,
@@ -284,9 +282,7 @@
     let load = stage.ask("rent-load", "INSERT /* work=6s threads=2 */");
     std::thread::scope(|s| {
         let posting = s.spawn(|| stage.run(&load).0);
-        while stage.sent(&load) == 0 {
-            std::thread::sleep(Duration::from_millis(5));
-        }
+        stage.wait_until_sent(&load);
         // The new process gives its first statement the URI that the old one gave the load.
         stage.crash_engine(0);
         stage.start_engine(0);
