Decisions: kinds and groups of tables can be held, through the one door

Need: what attracts runaways, or stands behind one, must be held by number and by place, and every send must still pass eligible. Change: Event::Hold sets how many of a kind or group of tables may be out at once, engines that get none of it, and whether it runs behind others. What is held and has no place stands apart from its class queue, so that its class goes on; 64 at most look for a place at each housekeeping.

--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -61,6 +61,7 @@
 const SPARE_MORE: f64 = 0.2; // A spill adds so much of the estimate to later grants of the class,
 const SPARE_LESS: f64 = 0.02; // and an answer without one takes this off.
 const EARLY: Micros = 5 * WAKE; // A query that spills so soon after its start has done little.
+const PARKED_TRIES: u32 = 64; // Held requests that look for a place at each housekeeping.
 const ASK_PAUSE: Micros = 500_000; // Pause after a refused call to discovery.
 
 // ---- state --------------------------------------------------------------------------------------
@@ -90,6 +91,7 @@
     key: Option<KeyId>,
     valid_until: Micros,
     group: Option<u64>,
+    kind: Option<u64>,
     born: Micros, // When its first try began, as far as can be told.
     came: Micros,
     rank: Option<Rank>,
@@ -104,6 +106,17 @@
     done: bool,
 }
 
+impl Request {
+    /// What it could be held as.
+    fn held(&self) -> impl Iterator<Item = Held> + use<> {
+        [self.kind.map(Held::Kind), self.group.map(Held::Group)].into_iter().flatten()
+    }
+
+    fn is_of(&self, of: Held) -> bool {
+        self.held().any(|held| held == of)
+    }
+}
+
 /// Requests of one key in the order taken; the first has the turn.
 #[derive(Default)]
 struct Turn {
@@ -154,6 +167,8 @@
     requests: BTreeMap<RequestId, Request>,
     ends: BTreeSet<(Micros, RequestId)>, // Open requests by the time their client gives up.
     turns: BTreeMap<KeyId, Turn>,
+    holds: BTreeMap<Held, (Hold, u32)>, // With the attempts that are out of each.
+    parked: BTreeSet<RequestId>, // Held, and without a place: out of their queues, so that others go on.
     taken: VecDeque<Micros>,
     extras: VecDeque<Micros>,
     next_wake: Micros,
@@ -192,6 +207,8 @@
             requests: BTreeMap::new(),
             ends: BTreeSet::new(),
             turns: BTreeMap::new(),
+            holds: BTreeMap::new(),
+            parked: BTreeSet::new(),
             taken: VecDeque::new(),
             extras: VecDeque::new(),
             next_wake: 0,
@@ -225,6 +242,12 @@
                 }
                 Event::Probed(id, report) => self.on_probe(*id, *report),
                 Event::Dropped(id) => self.end(*id, None, out),
+                Event::Hold(hold) => {
+                    let out = self.engines.values().flat_map(|e| &e.out);
+                    let same = |s: &&Sent| self.requests.get(&s.request).is_some_and(|r| r.is_of(hold.of));
+                    self.holds.insert(hold.of, (hold.clone(), out.filter(same).count() as u32));
+                    self.holds.retain(|_, (h, _)| h.most < u32::MAX || !h.closed.is_empty() || h.last);
+                }
                 Event::Wakeup => {}
             }
         }
@@ -291,11 +314,12 @@
         // A client's patience spans all its tries: a repeat began earlier.
         let born = if a.retry { a.valid_until.saturating_sub(spec.deadline).min(self.now) } else { self.now };
         let key = a.key.filter(|_| spec.in_turn);
-        let (class, valid_until, group, came) = (a.class, a.valid_until, a.group, self.now);
+        let (class, valid_until, group, kind, came) = (a.class, a.valid_until, a.group, a.kind, self.now);
         // What is granted beyond the need takes nothing where memory is overcommitted.
         let usual = a.want_mb.clamp(0.0, ABSURD) * (1.0 + self.classes[class].spare);
         let grant = if self.cfg.overcommits { ABSURD } else { usual }.min(self.cfg.most_grant);
-        let request = Request { class, key, valid_until, group, born, came, grant, ..Request::default() };
+        let r = Request { class, key, valid_until, group, kind, born, came, ..Request::default() };
+        let request = Request { grant, ..r };
         self.requests.insert(a.request, request);
         self.ends.insert((a.valid_until, a.request));
         if let Some(key) = key {
@@ -322,6 +346,9 @@
         self.feel(&sent, o);
         let Some(r) = self.requests.get_mut(&o.request) else { return };
         r.out.retain(|(hop, _)| *hop != o.hop);
+        for of in r.held() {
+            self.holds.get_mut(&of).into_iter().for_each(|(_, out)| *out = out.saturating_sub(1));
+        }
         let proof = matches!(o.ending, Ending::Full | Ending::NoConnection | Ending::Moot);
         if !proof && r.may_have_run.is_none() {
             let place = self.engines.get(&o.engine).map_or((None, 0), |e| (e.entry.zone, e.entry.cell));
@@ -557,6 +584,10 @@
                     self.give_up(id, out);
                 } else if let Some(engine) = self.choose(id) {
                     self.send(id, engine, out);
+                } else if self.requests.get(&id).is_some_and(|r| self.holds_of(r).next().is_some()) {
+                    // Danger: what is held and has no place now would keep its whole class behind it.
+                    self.dequeue(id);
+                    self.parked.insert(id);
                 } else {
                     open.retain(|c| *c != class); // No engine open to its head: yields to the others.
                 }
@@ -647,6 +678,9 @@
         e.recent.push_back((self.now, class.work));
         let (at, hop, class) = (self.now, r.attempts, r.class);
         e.out.push(Sent { request: id, hop, class, at, noted: at, paced: at, ..Sent::default() });
+        for of in r.held() {
+            self.holds.get_mut(&of).into_iter().for_each(|(_, out)| *out += 1);
+        }
         r.out.push((r.attempts, engine));
         r.tried.push(engine);
         r.attempts += 1;
@@ -659,12 +693,39 @@
     /// The class with the most worth for its work runs ahead inside engines too; late work runs behind.
     fn priority(&self, r: &Request) -> u8 {
         let best = (0..self.classes.len()).all(|c| self.gain(c) <= self.gain(r.class));
-        if r.rank.is_some_and(|rank| rank.0) { 0 } else { 1 + 2 * u8::from(best) }
+        let last = r.rank.is_some_and(|rank| rank.0) || self.holds_of(r).any(|(h, _)| h.last);
+        if last { 0 } else { 1 + 2 * u8::from(best) }
     }
 
     // ---- guards ---------------------------------------------------------------------------------
 
-    /// Every send passes here: listed, not draining, placement, group, health, place, cold budget.
+    /// The holds that a request is under, each with the attempts that are out of it.
+    fn holds_of(&self, r: &Request) -> impl Iterator<Item = &(Hold, u32)> {
+        r.held().filter_map(|of| self.holds.get(&of))
+    }
+
+    /// Puts back what was held, as many as there is room for, and of others no more than can be tried.
+    fn unpark(&mut self, out: &mut Vec<Action>) {
+        let mut room: BTreeMap<Held, u32> = self
+            .holds
+            .iter()
+            .map(|(of, (h, n))| (*of, h.most.saturating_sub(*n).min(PARKED_TRIES)))
+            .collect();
+        let mut free = Vec::new();
+        for id in &self.parked {
+            let Some(r) = self.requests.get(id) else { continue };
+            if r.held().all(|of| room.get(&of).is_none_or(|n| *n > 0)) {
+                r.held().for_each(|of| _ = room.get_mut(&of).map(|n| *n -= 1));
+                free.push(*id);
+            }
+        }
+        for id in free {
+            self.parked.remove(&id);
+            self.enqueue(id, out);
+        }
+    }
+
+    /// Every send passes here: listed, not draining, placement, group, health, place, cold budget, holds.
     fn eligible(&self, r: &Request, eid: EngineId, e: &Engine) -> bool {
         let c = &self.cfg.classes[r.class];
         let within = |only: &Option<Vec<usize>>, is: Option<usize>| {
@@ -687,6 +748,7 @@
             && (!self.crowded || self.shown(e) <= self.bar() + JAM_ROOM)
             && !r.out.iter().any(|(_, busy)| *busy == eid)
             && self.cold_room(r.class, e)
+            && self.holds_of(r).all(|(h, out)| *out < h.most && !h.closed.contains(&eid))
     }
 
     /// One query at least, but after its rest; late work fills only half of the window.
@@ -843,6 +905,7 @@
             self.dequeue(id);
             self.enqueue(id, out);
         }
+        self.unpark(out);
         let fall = self.cfg.rules.fall;
         let gone = Some((self.cfg.progress_every as f64 * GONE_TIMES) as Micros);
         let gone = gone.filter(|after| *after > 0 && self.cfg.limits.cancel);
@@ -898,6 +961,7 @@
     }
 
     fn dequeue(&mut self, id: RequestId) {
+        self.parked.remove(&id);
         if let Some(r) = self.requests.get_mut(&id)
             && let Some(rank) = r.rank.take()
         {
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -262,6 +262,30 @@
     pub group: Option<u64>,
     /// The client marks it as a repetition.
     pub retry: bool,
+    /// Its kind, under which it can be held.
+    pub kind: Option<u64>,
+}
+
+/// What a hold is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Held {
+    /// Requests of a kind.
+    Kind(u64),
+    /// Requests of a group of tables.
+    Group(u64),
+}
+
+/// A bound on what is sent. It takes the place of the one before about the same; one that bounds nothing lifts it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// About what.
+    pub of: Held,
+    /// Attempts that may be out at once.
+    pub most: u32,
+    /// Engines that get none of it.
+    pub closed: Vec<EngineId>,
+    /// It runs behind all others inside engines.
+    pub last: bool,
 }
 
 /// The end of an attempt.
@@ -320,6 +344,8 @@
     Probed(EngineId, Option<LoadReport>),
     /// The client has gone; no answer is owed.
     Dropped(RequestId),
+    /// Some requests are held, or no longer.
+    Hold(Hold),
     /// A timer is due.
     Wakeup,
 }
--- a/crates/policy/tests/common.rs
+++ b/crates/policy/tests/common.rs
@@ -86,6 +86,7 @@
         want_mb: 0.0,
         group: None,
         retry: false,
+        kind: None,
     })
 }
 
--- a/crates/policy/tests/generated.rs
+++ b/crates/policy/tests/generated.rs
@@ -50,6 +50,7 @@
     let (mut taken, mut extras): (Vec<Micros>, Vec<Micros>) = (vec![], vec![]);
     let mut rests: BTreeMap<u64, Micros> = BTreeMap::new();
     let (mut withdrawn, mut cancels) = (BTreeSet::new(), 0);
+    let mut holds: BTreeMap<u64, Hold> = BTreeMap::new();
     let (mut next, mut now) = (0u64, S);
     while now < 20 * S {
         let mut events = Vec::new();
@@ -69,11 +70,22 @@
                 Some(k) => keyed(next, class, valid_until, k),
                 None => arrival(next, class, valid_until),
             });
+            if let (true, Some(Event::Arrival(a))) = (notes, events.last_mut()) {
+                a.kind = Some(next % 4);
+            }
             taken.push(now);
             let (out, may_have_run) = (vec![], None);
             seen.insert(next, Seen { class, key, valid_until, attempts: 0, out, may_have_run, over: false });
             next += 1;
         }
+        if notes && pick(100) == 0 {
+            let closed = (0..6).filter(|_| pick(3) == 0).map(EngineId).collect();
+            let most = [0, 1, 2, u32::MAX][pick(4) as usize];
+            let hold = Hold { of: Held::Kind(pick(4)), most, closed, last: false };
+            let Held::Kind(kind) = hold.of else { unreachable!() };
+            holds.insert(kind, hold.clone());
+            events.push(Event::Hold(hold));
+        }
         for (id, r) in &mut seen {
             let Some(&(hop, engine)) = r.out.first() else { continue };
             let ending = if r.valid_until <= now {
@@ -114,6 +126,14 @@
                 Action::Send { request, engine, .. } => {
                     let e = &fleet[&engine.0];
                     assert_eq!(e.readiness, Readiness::Up, "rule 3");
+                    if let Some(hold) = holds.get(&(request.0 % 4)).filter(|_| notes) {
+                        let out = |(id, r): (&u64, &Seen)| *id % 4 == request.0 % 4 && !r.out.is_empty();
+                        assert!(!hold.closed.contains(&engine), "a hold: where");
+                        assert!(
+                            (seen.iter().filter(|s| out(*s)).count() as u32) < hold.most,
+                            "a hold: how many"
+                        );
+                    }
                     let earlier = seen.range(..request.0).map(|(_, r)| r);
                     let r = &seen[&request.0];
                     if let Some(k) = r.key {
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -180,6 +180,7 @@
         want_mb: f64::MAX,
         guess: Some(Micros::MAX),
         retry: false,
+        kind: None,
     });
     let fleet = Event::List(Scope::All, vec![entry(2, 99), odd]);
     let out = step(
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -233,6 +233,7 @@
             want_mb: 0.0,
             group: s.tables.as_deref().map(|t| hash(t) >> 32),
             retry: s.repeat,
+            kind: None,
         }));
         Ok(id)
     }
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -157,6 +157,7 @@
             want_mb: w.want_mb,
             group: w.source_set,
             retry: w.retry,
+            kind: None,
         })
     }
 
