--- /dev/null
+++ b/crates/runaway/src/ending.rs
@@ -0,0 +1,65 @@
+//! Owns what may be said of a statement that was ended at its engine. The one mistake that must not happen: to
+//! invite a second run of what may have had its effect.
+
+use hoptiller::{Effect, Group, Micros};
+
+/// What the engine says of the effects of a statement that it has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// All are undone.
+    RolledBack,
+    /// They stand.
+    Committed,
+    /// It does not say.
+    Unknown,
+}
+
+/// What its client is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Refused: trying again is harmless.
+    Harmless,
+    /// Failed: it may have run.
+    MayHaveRun,
+    /// Failed: it has run, and its effects stand.
+    HasRun,
+}
+
+/// What may be said. `since` is when its first attempt that may have run was sent.
+pub fn answer_after_end(effect: Effect, proof: Proof, since: Micros, now: Micros) -> Verdict {
+    match (effect, proof) {
+        (Effect::Pure, _) | (_, Proof::RolledBack) => Verdict::Harmless,
+        // Repeats are dropped wherever the client's next try goes, but only inside the window.
+        (Effect::Keyed { group: Group::All, window }, _) if now < since.saturating_add(window) => {
+            Verdict::Harmless
+        }
+        (_, Proof::Committed) => Verdict::HasRun,
+        (_, Proof::Unknown) => Verdict::MayHaveRun,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_proof_or_a_window_that_still_holds_makes_a_second_run_harmless() {
+        use Proof::*;
+        let keyed = |group, window| Effect::Keyed { group, window };
+        for (effect, proof, want) in [
+            (Effect::Pure, Unknown, Verdict::Harmless),
+            (Effect::Unsafe, RolledBack, Verdict::Harmless),
+            (Effect::Unsafe, Unknown, Verdict::MayHaveRun),
+            (Effect::Unsafe, Committed, Verdict::HasRun),
+            (keyed(Group::All, 101), Unknown, Verdict::Harmless),
+            (keyed(Group::All, 101), Committed, Verdict::Harmless),
+            (keyed(Group::All, 100), Unknown, Verdict::MayHaveRun),
+            (keyed(Group::All, 100), Committed, Verdict::HasRun),
+            (keyed(Group::Zone, 1000), Unknown, Verdict::MayHaveRun),
+            (keyed(Group::Cell, 1000), Committed, Verdict::HasRun),
+            (keyed(Group::Zone, 10), RolledBack, Verdict::Harmless),
+        ] {
+            assert_eq!(answer_after_end(effect, proof, 100, 200), want, "{effect:?} {proof:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/runaway/src/engines.rs
@@ -0,0 +1,111 @@
+//! Owns how slow each engine is by itself: the median, over different statements that ran or run there, of how
+//! much longer than usual they take. Where everything is slow, no statement is at fault for it.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use hoptiller::{EngineId, Micros};
+
+use crate::interface::KindId;
+
+/// Ends that count, and for how long.
+const ENDS: usize = 16;
+const FRESH: Micros = 20_000_000;
+/// Statements from which a median says anything of an engine.
+const ENOUGH: usize = 3;
+/// The most that slowness excuses.
+const MOST: f64 = 20.0;
+/// An engine is named from so many times usual, and so many times what the others take.
+pub const SLOW: f64 = 3.0;
+const AGAINST_OTHERS: f64 = 2.0;
+
+/// A statement that tells of its engine: its kind, and times as long as usual; of one that still runs, at least.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// Its kind.
+    pub kind: KindId,
+    /// Times as long as usual.
+    pub times: f64,
+}
+
+/// What ended at engines lately.
+#[derive(Debug, Default)]
+pub struct Paces {
+    ends: BTreeMap<EngineId, VecDeque<(Micros, Sample)>>,
+}
+
+impl Paces {
+    /// A statement has ended.
+    pub fn ended(&mut self, now: Micros, engine: EngineId, sample: Sample) {
+        let ends = self.ends.entry(engine).or_default();
+        ends.push_back((now, sample));
+        while ends.len() > ENDS {
+            ends.pop_front();
+        }
+    }
+
+    /// Forgets engines that are gone.
+    pub fn retain(&mut self, keep: impl Fn(EngineId) -> bool) {
+        self.ends.retain(|id, _| keep(*id));
+    }
+
+    /// How slow an engine is, and by how many statements, given what runs there. Never under 1.
+    pub fn slowness(&self, now: Micros, engine: EngineId, running: &[Sample]) -> (f64, usize) {
+        let since = now.saturating_sub(FRESH);
+        let ended = self.ends.get(&engine).into_iter().flatten().filter(|(at, _)| *at >= since);
+        let mut times: Vec<f64> =
+            ended.map(|(_, s)| s.times).chain(running.iter().map(|s| s.times)).collect();
+        if times.len() < ENOUGH {
+            return (1.0, times.len());
+        }
+        times.sort_by(f64::total_cmp);
+        // The lower one of two in the middle: it takes more than half to excuse one.
+        (times[(times.len() - 1) / 2].clamp(1.0, MOST), times.len())
+    }
+}
+
+/// Whether an engine stands out among all.
+pub fn stands_out(own: (f64, usize), others: &[(f64, usize)]) -> bool {
+    let mut known: Vec<f64> = others.iter().filter(|o| o.1 >= ENOUGH).map(|o| o.0).collect();
+    known.sort_by(f64::total_cmp);
+    let usual = known.get(known.len().saturating_sub(1) / 2).copied().unwrap_or(1.0);
+    own.1 > ENOUGH && own.0 >= SLOW && own.0 >= AGAINST_OTHERS * usual
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn samples(times: &[f64]) -> Vec<Sample> {
+        times.iter().map(|t| Sample { kind: KindId(1), times: *t }).collect()
+    }
+
+    #[test]
+    fn it_takes_several_statements_to_call_an_engine_slow() {
+        let paces = Paces::default();
+        let slow = |times: &[f64]| paces.slowness(0, EngineId(1), &samples(times)).0;
+        assert_eq!(slow(&[50.0, 50.0]), 1.0);
+        assert_eq!(slow(&[1.0, 1.2, 50.0, 0.9]), 1.0);
+        assert_eq!(slow(&[4.0, 5.0, 50.0, 6.0]), 5.0);
+        assert_eq!(slow(&[400.0; 5]), MOST);
+    }
+
+    #[test]
+    fn what_ended_long_ago_says_nothing() {
+        let mut paces = Paces::default();
+        for _ in 0..100 {
+            paces.ended(0, EngineId(1), samples(&[8.0])[0]);
+        }
+        assert_eq!(paces.slowness(FRESH, EngineId(1), &[]), (8.0, ENDS));
+        assert_eq!(paces.slowness(FRESH + 1, EngineId(1), &[]), (1.0, 0));
+        paces.retain(|_| false);
+        assert_eq!(paces.slowness(0, EngineId(1), &[]).1, 0);
+    }
+
+    #[test]
+    fn one_engine_stands_out_only_against_the_others() {
+        assert!(stands_out((4.0, 8), &[(1.0, 8), (1.2, 8)]));
+        assert!(!stands_out((4.0, 8), &[(3.0, 8), (4.0, 8), (1.0, 0)]));
+        assert!(!stands_out((2.5, 8), &[(1.0, 8)]) && !stands_out((9.0, ENOUGH), &[(1.0, 8)]));
+        assert!(stands_out((4.0, 8), &[]));
+    }
+}
--- /dev/null
+++ b/crates/runaway/src/expect.rs
@@ -0,0 +1,429 @@
+//! Owns what is usual: for a kind, for a class while a kind is new, for a size that a statement announces.
+//!
+//! A kind's own runs count from the first, but bind only from [`LAW`] on: until then the wider of its own bound
+//! and its class's holds. What was found to be a runaway teaches nothing; when most runs of a kind are beyond its
+//! bound, the kind has changed, and they become the new usual ([`Book::adopt`]).
+//!
+//! Memory is bounded: kinds that are hardly known and kinds that are known well are kept apart, so that texts
+//! made up by the thousand only push each other out.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+
+use hoptiller::Micros;
+
+use crate::interface::{Announced, Basis, Class, KindId};
+use crate::sketch::Sketch;
+
+/// A statement is too long from this multiple of its kind's median. Ten times is a large one that is to be
+/// left alone; the rest is room for medians that are known to an eighth and noise in what engines tell.
+pub const FAR: f64 = 12.0;
+/// ... and from this multiple of its kind's 99th percentile.
+const BEYOND: f64 = 2.0;
+/// While a kind is hardly known, its class's median counts by this much more.
+const STRANGER: f64 = 2.0;
+/// Runs from which a kind is its own law.
+pub const LAW: u64 = 30;
+/// Runs from which a kind counts as known, and its median as usual.
+pub const KNOWN: u64 = 10;
+/// Runs of a class from which it tells anything of its kinds.
+const CLASS_KNOWN: u64 = 20;
+/// An estimate counts where estimates of the kind were right within this factor.
+const HONEST: f64 = 4.0;
+/// Part of the places that kinds hardly known may take.
+const STRANGERS: usize = 4;
+/// Sizes that a kind keeps apart: powers of two.
+const SIZES: usize = 24;
+
+/// What one run showed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Run {
+    /// Run time without standing still, by how slow the engine was, in µs.
+    pub ran: f64,
+    /// Work, in µs.
+    pub work: Option<f64>,
+    /// Rows read.
+    pub rows: Option<f64>,
+    /// Memory, in MB.
+    pub memory: Option<f64>,
+}
+
+/// Distributions of one size of a kind, or of a class.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Figures {
+    pub run: Sketch,
+    pub work: Sketch,
+    /// Work for a thousand rows, in µs.
+    pub per_rows: Sketch,
+    pub memory: Sketch,
+}
+
+impl Figures {
+    fn learn(&mut self, run: &Run) {
+        self.run.add(run.ran);
+        self.work.add(run.work.unwrap_or(0.0));
+        if let (Some(work), Some(rows)) = (run.work, run.rows) {
+            self.per_rows.add(work * 1000.0 / rows.max(1.0));
+        }
+        self.memory.add(run.memory.unwrap_or(0.0));
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct KindBook {
+    pub class: usize,
+    pub label: Rc<str>,
+    /// By the power of two under its size.
+    pub sizes: BTreeMap<u8, Figures>,
+    /// Work against the estimate, in thousandths.
+    pub honesty: Sketch,
+    /// Runs beyond the bound, that teach nothing until they are most.
+    pub beyond: Figures,
+    pub last: Micros,
+}
+
+impl KindBook {
+    fn runs(&self) -> u64 {
+        self.sizes.values().map(|f| f.run.count()).sum()
+    }
+}
+
+/// What is usual of a figure, and from where on it is too much.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Expected {
+    /// The median.
+    pub usual: f64,
+    /// The bound.
+    pub bar: f64,
+    /// What both rest on.
+    pub basis: Basis,
+}
+
+/// What is expected of one statement.
+#[derive(Clone, Copy, Debug)]
+pub struct Expectation {
+    /// Its run time, in µs.
+    pub run: Expected,
+    /// Its work, in µs.
+    pub work: Expected,
+    /// Its usual memory, in MB, where known.
+    pub memory: Option<Expected>,
+    /// Its usual work for a thousand rows, in µs, where known.
+    pub per_rows: Option<f64>,
+    /// Its kind is known.
+    pub known: bool,
+}
+
+/// All kinds and classes.
+#[derive(Debug)]
+pub struct Book {
+    most: usize,
+    pub(crate) kinds: HashMap<KindId, KindBook>,
+    pub(crate) classes: Vec<(Figures, Sketch)>,
+    /// By the time of their last use: kinds hardly known, kinds known.
+    line: [BTreeSet<(Micros, KindId)>; 2],
+}
+
+impl Book {
+    /// An empty book of some classes, for so many kinds at most.
+    pub fn new(classes: usize, most: usize) -> Book {
+        let empty = (Figures::default(), Sketch::default());
+        let line = [BTreeSet::new(), BTreeSet::new()];
+        Book { most: most.max(STRANGERS), kinds: HashMap::new(), classes: vec![empty; classes], line }
+    }
+
+    /// Kinds remembered.
+    pub fn len(&self) -> usize {
+        self.kinds.len()
+    }
+
+    /// Whether no kind is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.kinds.is_empty()
+    }
+
+    /// Whether a kind has been seen often enough to be told from its class.
+    pub fn is_known(&self, kind: KindId) -> bool {
+        self.kinds.get(&kind).is_some_and(|k| k.runs() >= KNOWN)
+    }
+
+    /// How many kinds of a class are known.
+    pub fn known_of(&self, class: usize) -> usize {
+        let known = self.line[1].iter().filter_map(|(_, id)| self.kinds.get(id));
+        known.filter(|k| k.class == class).count()
+    }
+
+    /// The text of a kind, for people.
+    pub fn label(&self, kind: KindId) -> Option<Rc<str>> {
+        self.kinds.get(&kind).map(|k| k.label.clone())
+    }
+
+    /// A statement of this kind has come: remembers the kind, and forgets another where there is no room.
+    pub fn touch(&mut self, kind: KindId, class: usize, label: &Rc<str>, now: Micros) {
+        let known = usize::from(self.is_known(kind));
+        let k = self.kinds.entry(kind).or_insert_with(|| KindBook {
+            class,
+            label: label.clone(),
+            sizes: BTreeMap::new(),
+            honesty: Sketch::default(),
+            beyond: Figures::default(),
+            last: now,
+        });
+        for line in &mut self.line {
+            line.remove(&(k.last, kind));
+        }
+        k.last = now;
+        self.line[known].insert((now, kind));
+        self.trim();
+    }
+
+    fn trim(&mut self) {
+        let strangers = self.most / STRANGERS;
+        for (line, most) in self.line.iter_mut().zip([strangers, self.most - strangers]) {
+            while line.len() > most {
+                let Some((_, oldest)) = line.pop_first() else { break };
+                self.kinds.remove(&oldest);
+            }
+        }
+    }
+
+    pub(crate) fn restore(&mut self, kind: KindId, book: KindBook) {
+        let known = usize::from(book.runs() >= KNOWN);
+        self.line[known].insert((book.last, kind));
+        self.kinds.insert(kind, book);
+        self.trim();
+    }
+
+    /// What is expected of a statement of this kind and class that announces this.
+    pub fn expect(&self, kind: KindId, class: usize, spec: &Class, says: Announced) -> Expectation {
+        let (of_class, class_honesty) = &self.classes[class];
+        let book = self.kinds.get(&kind);
+        let (own, scale) = book.map_or((None, 1.0), |k| k.of_size(says.size));
+        let per_thread = spec.aim as f64;
+        let run = expected(own.map(|f| &f.run), &of_class.run, scale, per_thread, spec);
+        let work = expected(own.map(|f| &f.work), &of_class.work, scale, per_thread * spec.threads, spec);
+        let honesty = book.map(|k| &k.honesty).filter(|h| h.count() >= KNOWN).unwrap_or(class_honesty);
+        let more = says.estimate.map_or(1.0, |e| larger_by(e as f64, honesty, work.usual));
+        let larger = |e: Expected| Expected { usual: e.usual * more, bar: e.bar * more, ..e };
+        let memory = own.filter(|f| f.memory.count() >= KNOWN).and_then(|f| {
+            let (usual, top) = (f.memory.quantile(0.5)? * scale, f.memory.quantile(0.99)? * scale);
+            let bar = (usual * HONEST).max(top * BEYOND);
+            Some(Expected { usual, bar, basis: Basis::Kind(f.memory.count()) })
+        });
+        let per_rows = own.filter(|f| f.per_rows.count() >= KNOWN).and_then(|f| f.per_rows.quantile(0.5));
+        let known = book.is_some_and(|k| k.runs() >= KNOWN);
+        Expectation { run: larger(run), work: larger(work), memory: memory.map(larger), per_rows, known }
+    }
+
+    /// What is usual of a class, for statements of which no more is known.
+    pub fn expect_of_class(&self, class: usize, spec: &Class) -> Expected {
+        expected(None, &self.classes[class].0.run, 1.0, spec.aim as f64, spec)
+    }
+
+    /// Takes in a run that was within its bound.
+    pub fn learn(&mut self, kind: KindId, class: usize, says: Announced, run: &Run) {
+        self.classes[class].0.learn(run);
+        let honest = says.estimate.zip(run.work).map(|(e, work)| work * 1000.0 / (e as f64).max(1.0));
+        self.classes[class].1.add(honest.unwrap_or(0.0));
+        let Some(k) = self.kinds.get_mut(&kind) else { return };
+        let was_known = k.runs() >= KNOWN;
+        k.honesty.add(honest.unwrap_or(0.0));
+        k.sizes.entry(bucket(says.size)).or_default().learn(run);
+        if !was_known && k.runs() >= KNOWN {
+            let at = (k.last, kind);
+            self.line[0].remove(&at);
+            self.line[1].insert(at);
+            self.trim();
+        }
+    }
+
+    /// Notes a run that was beyond its bound. It teaches nothing yet; returns how many there have been.
+    pub fn note_beyond(&mut self, kind: KindId, run: &Run) -> u64 {
+        let Some(k) = self.kinds.get_mut(&kind) else { return 0 };
+        k.beyond.learn(run);
+        k.beyond.run.count()
+    }
+
+    /// The kind has changed: what was beyond its bound is usual now.
+    pub fn adopt(&mut self, kind: KindId) {
+        let Some(k) = self.kinds.get_mut(&kind) else { return };
+        if k.beyond.run.count() > 0 {
+            let beyond = std::mem::take(&mut k.beyond);
+            k.sizes = BTreeMap::from([(0, beyond)]);
+        }
+    }
+
+    /// The kind runs as it did: those beyond were strays.
+    pub fn disown(&mut self, kind: KindId) {
+        if let Some(k) = self.kinds.get_mut(&kind) {
+            k.beyond = Figures::default();
+        }
+    }
+}
+
+impl KindBook {
+    /// The distributions nearest to a size, and what to scale them by: a larger statement may take more in
+    /// proportion; a smaller one is not held to less than what larger ones take.
+    fn of_size(&self, size: u64) -> (Option<&Figures>, f64) {
+        let want = bucket(size);
+        let taught = self.sizes.iter().filter(|(_, f)| f.run.count() >= KNOWN);
+        let nearest = taught.min_by_key(|(b, _)| (b.abs_diff(want), **b));
+        // Until one size is known well, the fullest of them.
+        let nearest = nearest.or_else(|| self.sizes.iter().max_by_key(|(_, f)| f.run.count()));
+        match nearest {
+            Some((b, figures)) => (Some(figures), f64::from(1u32 << want.saturating_sub(*b).min(20))),
+            None => (None, 1.0),
+        }
+    }
+}
+
+fn bucket(size: u64) -> u8 {
+    (size.max(1).ilog2() as usize).min(SIZES - 1) as u8
+}
+
+/// The bound over a distribution.
+fn bar(of: &Sketch, far: f64) -> Option<f64> {
+    Some((of.quantile(0.5)? * far).max(of.quantile(0.99)? * BEYOND))
+}
+
+fn expected(own: Option<&Sketch>, class: &Sketch, scale: f64, by_settings: f64, spec: &Class) -> Expected {
+    let floor = by_settings;
+    let of_class = if class.count() >= CLASS_KNOWN {
+        let usual = class.quantile(0.5).unwrap_or(floor);
+        let bar = bar(class, FAR * STRANGER).unwrap_or(floor).max(floor);
+        Expected { usual, bar, basis: Basis::Class(class.count()) }
+    } else {
+        // Nothing is known: the aim is what a statement should take, and its clients' patience is no bound of
+        // what it may.
+        let bar = (floor * FAR).max(spec.patience as f64);
+        Expected { usual: floor, bar, basis: Basis::Settings }
+    };
+    let n = own.map_or(0, Sketch::count);
+    let (Some(own), true) = (own, n > 0) else { return of_class };
+    let own_usual = own.quantile(0.5).unwrap_or(floor) * scale;
+    let own_bar = bar(own, FAR).unwrap_or(floor) * scale;
+    let usual = if n >= KNOWN { own_usual } else { of_class.usual.max(own_usual) };
+    if n >= LAW {
+        Expected { usual, bar: own_bar.max(floor), basis: Basis::Kind(n) }
+    } else {
+        Expected { usual, bar: own_bar.max(of_class.bar), basis: of_class.basis }
+    }
+}
+
+/// By how much an estimate makes a statement larger than usual, where estimates have been right.
+fn larger_by(estimate: f64, honesty: &Sketch, usual: f64) -> f64 {
+    if honesty.count() < KNOWN {
+        return 1.0;
+    }
+    let of = |q| honesty.quantile(q).unwrap_or(0.0) / 1000.0;
+    let (low, mid, high) = (of(0.1), of(0.5), of(0.9));
+    // Danger: a client whose estimates say nothing could announce a runaway away.
+    if mid <= 0.0 || low < mid / HONEST || high > mid * HONEST {
+        return 1.0;
+    }
+    (estimate * mid / usual.max(1.0)).clamp(1.0, 1e4)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::interface::Acts;
+    use hoptiller::Effect;
+
+    const S: f64 = 1e6;
+
+    fn spec() -> Class {
+        Class {
+            name: "report".into(),
+            aim: 2_000_000,
+            patience: 25_000_000,
+            threads: 2.0,
+            effect: Effect::Pure,
+            holds: false,
+            acts: Acts::default(),
+        }
+    }
+
+    fn run(seconds: f64) -> Run {
+        Run { ran: seconds * S, work: Some(2.0 * seconds * S), ..Run::default() }
+    }
+
+    fn book(kind: KindId, runs: usize) -> Book {
+        let mut b = Book::new(1, 400);
+        b.touch(kind, 0, &"select ?".into(), 1);
+        for n in 0..runs {
+            b.learn(kind, 0, Announced::default(), &run(0.8 + 0.4 * (n % 10) as f64 / 9.0));
+        }
+        b
+    }
+
+    fn bar_of(b: &Book, kind: u64, says: Announced) -> Expected {
+        b.expect(KindId(kind), 0, &spec(), says).run
+    }
+
+    #[test]
+    fn a_kind_of_ten_runs_is_no_law() {
+        let (nothing, some) = (Announced::default(), |b: &Book| bar_of(b, 1, Announced::default()));
+        assert_eq!(some(&book(KindId(1), 0)).basis, Basis::Settings);
+        let ten = some(&book(KindId(1), 10));
+        assert_eq!((ten.basis, ten.bar), (Basis::Settings, 25.0 * S));
+        let law = some(&book(KindId(1), 60));
+        assert_eq!(law.basis, Basis::Kind(60));
+        assert!((11.0 * S..13.0 * S).contains(&law.bar), "{law:?}");
+        // A kind never seen, in a class that is known: wider than the class's own kinds.
+        let stranger = bar_of(&book(KindId(1), 60), 2, nothing);
+        assert_eq!(stranger.basis, Basis::Class(60));
+        assert!(stranger.bar > 1.8 * law.bar, "{stranger:?}");
+    }
+
+    #[test]
+    fn what_is_announced_counts_where_it_was_right_before() {
+        let b = book(KindId(1), 60);
+        let says = |size, estimate| Announced { size, estimate };
+        let (plain, twelve) = (bar_of(&b, 1, says(0, None)), bar_of(&b, 1, says(12, None)));
+        assert!((7.0..9.0).contains(&(twelve.bar / plain.bar)), "the power of two under 12");
+        // Estimates of which nothing is known are not believed.
+        assert_eq!(bar_of(&b, 1, says(0, Some(900_000_000))), plain);
+        let mut honest = book(KindId(1), 60);
+        let mut liar = book(KindId(1), 60);
+        for n in 0..20u64 {
+            honest.learn(KindId(1), 0, says(0, Some(1_000_000)), &run(1.0));
+            liar.learn(KindId(1), 0, says(0, Some(10_000 << (n % 14))), &run(1.0));
+        }
+        assert!(bar_of(&honest, 1, says(0, Some(10_000_000))).bar > 9.0 * plain.bar);
+        assert!(bar_of(&liar, 1, says(0, Some(10_000_000))).bar < 1.1 * plain.bar);
+    }
+
+    #[test]
+    fn usual_moves_with_the_month_and_not_with_strays() {
+        let mut b = book(KindId(1), 200);
+        let before = bar_of(&b, 1, Announced::default());
+        for _ in 0..20 {
+            b.note_beyond(KindId(1), &run(100.0));
+        }
+        assert_eq!(bar_of(&b, 1, Announced::default()), before);
+        for _ in 0..400 {
+            b.learn(KindId(1), 0, Announced::default(), &run(4.0));
+        }
+        assert!(bar_of(&b, 1, Announced::default()).usual > 3.5 * before.usual);
+        b.adopt(KindId(1));
+        assert!(bar_of(&b, 1, Announced::default()).usual > 90.0 * S);
+    }
+
+    #[test]
+    fn invented_kinds_push_out_only_each_other() {
+        let mut b = book(KindId(1), 60);
+        for n in 0..100_000u64 {
+            b.touch(KindId(n + 10), 0, &"x".into(), 2 + n);
+        }
+        assert_eq!(b.len(), 101);
+        assert!(b.is_known(KindId(1)) && !b.is_known(KindId(100_009)));
+        assert!(b.kinds.contains_key(&KindId(100_009)) && !b.kinds.contains_key(&KindId(10)));
+        // Known ones are bounded too.
+        for n in 0..1000u64 {
+            b.touch(KindId(n + 1_000_000), 0, &"x".into(), 200_000 + n);
+            (0..KNOWN).for_each(|_| b.learn(KindId(n + 1_000_000), 0, Announced::default(), &run(1.0)));
+        }
+        assert!(b.len() <= 400 && b.known_of(0) == 300);
+    }
+}
--- /dev/null
+++ b/crates/runaway/src/hold.rs
@@ -0,0 +1,263 @@
+//! Owns how many of a held kind may run at once, and where, and how that grows back.
+//!
+//! A hold starts at one statement at once, on the one engine that all routers choose alike. Each [`CLEAN`] runs
+//! within half of the bound double it; a further runaway takes it back to one and asks for twice as many clean
+//! runs. At [`FREE`] it is lifted. A kind of which nothing comes any more is freed by time, a step each
+//! [`IDLE_STEP`]. A group of tables that a runaway holds at an engine is kept away from there while it does.
+
+use std::collections::BTreeMap;
+
+use hoptiller::{EngineId, Held, Hold, Micros};
+use serde::{Deserialize, Serialize};
+
+use crate::interface::{KindId, Listed};
+
+/// Clean runs for a step, at first.
+const CLEAN: u32 = 3;
+/// And at most.
+const MOST_CLEAN: u32 = 48;
+/// At this many at once, a hold is lifted.
+const FREE: u32 = 8;
+/// Time without any run of the kind after which a hold grows a step.
+const IDLE_STEP: Micros = 300_000_000;
+/// Holds at most; the one that is nearest to its end goes first.
+const MOST_HOLDS: usize = 256;
+
+/// A held kind.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KindHold {
+    /// Its class.
+    pub class: usize,
+    /// Its text, for people.
+    pub label: String,
+    /// How many may run at once, those that ran away not counted.
+    pub at_once: u32,
+    /// Clean runs since the last step, and how many the next one takes.
+    pub clean: u32,
+    /// See there.
+    pub wanted: u32,
+    /// Since when.
+    pub since: Micros,
+    /// When something of the kind last ended.
+    pub last: Micros,
+    /// It also runs behind all others inside engines.
+    pub lower: bool,
+    /// Runaways of the kind that are out: they take no place of the others.
+    #[serde(skip)]
+    pub out: u32,
+}
+
+/// All holds.
+#[derive(Debug, Default)]
+pub struct Holds {
+    pub(crate) kinds: BTreeMap<KindId, KindHold>,
+    /// Groups and the engines that they are kept away from.
+    pub(crate) groups: BTreeMap<u64, Vec<EngineId>>,
+    engines: Vec<Listed>,
+    /// What was told last of each, so that only news is told.
+    told: BTreeMap<Held, Hold>,
+}
+
+impl Holds {
+    /// A runaway of a kind was found.
+    pub fn found(&mut self, now: Micros, kind: KindId, class: usize, label: &str, lower: bool) {
+        if self.kinds.len() >= MOST_HOLDS && !self.kinds.contains_key(&kind) {
+            let nearest = self.kinds.iter().max_by_key(|(_, h)| (h.at_once, std::cmp::Reverse(h.last)));
+            if let Some(id) = nearest.map(|(id, _)| *id) {
+                self.kinds.remove(&id);
+            }
+        }
+        match self.kinds.get_mut(&kind) {
+            Some(h) => {
+                h.wanted = (h.wanted * 2).min(MOST_CLEAN);
+                (h.at_once, h.clean, h.last, h.out) = (1, 0, now, h.out + 1);
+            }
+            None => {
+                let (label, wanted) = (label.to_owned(), CLEAN);
+                let (at_once, clean, since, last, out) = (1, 0, now, now, 1);
+                let hold = KindHold { class, label, at_once, clean, wanted, since, last, lower, out };
+                self.kinds.insert(kind, hold);
+            }
+        }
+    }
+
+    /// A runaway of a held kind is over.
+    pub fn over(&mut self, now: Micros, kind: KindId) {
+        if let Some(h) = self.kinds.get_mut(&kind) {
+            h.out = h.out.saturating_sub(1);
+            h.last = now;
+        }
+    }
+
+    /// A statement of a kind has ended, within half of its bound or not.
+    pub fn ended(&mut self, now: Micros, kind: KindId, clean: bool) {
+        let Some(h) = self.kinds.get_mut(&kind) else { return };
+        h.last = now;
+        if !clean {
+            h.clean = 0;
+            return;
+        }
+        h.clean += 1;
+        if h.clean >= h.wanted {
+            (h.at_once, h.clean) = ((h.at_once * 2).min(FREE), 0);
+        }
+        if h.at_once >= FREE && h.out == 0 {
+            self.kinds.remove(&kind);
+        }
+    }
+
+    /// An operator frees a kind. False where it is not held.
+    pub fn release(&mut self, kind: KindId) -> bool {
+        self.kinds.remove(&kind).is_some()
+    }
+
+    /// Keeps a group of tables away from engines, or no longer from any.
+    pub fn keep_away(&mut self, groups: BTreeMap<u64, Vec<EngineId>>) {
+        self.groups = groups;
+    }
+
+    /// The engine list.
+    pub fn listed(&mut self, engines: &[Listed]) {
+        self.engines = engines.to_vec();
+    }
+
+    /// Frees by time.
+    pub fn tick(&mut self, now: Micros) {
+        for h in self.kinds.values_mut().filter(|h| h.out == 0) {
+            if now.saturating_sub(h.last) >= IDLE_STEP {
+                (h.at_once, h.clean, h.last) = ((h.at_once * 2).min(FREE), 0, now);
+            }
+        }
+        self.kinds.retain(|_, h| h.at_once < FREE || h.out > 0);
+    }
+
+    /// Holds that are new or have changed since the last call; lifted ones as holds without a bound.
+    pub fn news(&mut self) -> Vec<Hold> {
+        let mut wanted: BTreeMap<Held, Hold> = BTreeMap::new();
+        for (kind, h) in &self.kinds {
+            let of = Held::Kind(kind.0);
+            let closed = self.closed_to(*kind, h);
+            wanted.insert(of, Hold { of, most: h.at_once + h.out, closed, last: h.lower });
+        }
+        for (group, engines) in &self.groups {
+            let of = Held::Group(*group);
+            // Danger: kept away from every engine, it would never run.
+            let up: Vec<EngineId> = self.engines.iter().filter(|e| e.up).map(|e| e.engine).collect();
+            if up.iter().any(|e| !engines.contains(e)) {
+                wanted.insert(of, Hold { of, most: u32::MAX, closed: engines.clone(), last: false });
+            }
+        }
+        let lifted = self.told.keys().filter(|of| !wanted.contains_key(of));
+        let mut news: Vec<Hold> =
+            lifted.map(|of| Hold { of: *of, most: u32::MAX, closed: Vec::new(), last: false }).collect();
+        news.extend(wanted.values().filter(|h| self.told.get(&h.of) != Some(h)).cloned());
+        self.told = wanted;
+        news
+    }
+
+    /// The engines where a held kind may not run: all but as many as may run at once, chosen by a hash that is
+    /// alike at all routers, so that together they hold it to few engines without a word between them.
+    fn closed_to(&self, kind: KindId, h: &KindHold) -> Vec<EngineId> {
+        let fits = |e: &&Listed| e.up && e.classes.get(h.class).copied().unwrap_or(true);
+        let mut open: Vec<EngineId> = self.engines.iter().filter(fits).map(|e| e.engine).collect();
+        let own = |id: &EngineId| {
+            let mut hash = blake3::Hasher::new();
+            hash.update(&kind.0.to_le_bytes()).update(&id.0.to_le_bytes());
+            *hash.finalize().as_bytes()
+        };
+        open.sort_by_key(own);
+        open.split_off(open.len().min(h.at_once as usize))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const K: KindId = KindId(7);
+
+    fn holds(engines: u32) -> Holds {
+        let mut h = Holds::default();
+        let listed = |n| Listed { engine: EngineId(n), up: true, classes: vec![true, n % 2 == 0] };
+        h.listed(&(0..engines).map(listed).collect::<Vec<_>>());
+        h
+    }
+
+    fn bound(news: &[Hold]) -> Vec<(u32, usize)> {
+        news.iter().map(|h| (h.most, h.closed.len())).collect()
+    }
+
+    #[test]
+    fn a_hold_grows_back_step_by_step_and_is_lifted() {
+        let mut h = holds(5);
+        h.found(1, K, 0, "x", true);
+        let news = h.news();
+        assert_eq!(bound(&news), [(2, 4)], "one beside the one that ran away, on one engine of five");
+        assert!(news[0].last && h.news().is_empty(), "only news is told");
+        h.over(2, K);
+        assert_eq!(bound(&h.news()), [(1, 4)]);
+        for (runs, want) in [(3, (2, 3)), (3, (4, 1)), (3, (u32::MAX, 0))] {
+            (0..runs).for_each(|_| h.ended(3, K, true));
+            assert_eq!(bound(&h.news()), [want]);
+        }
+        assert!(h.kinds.is_empty());
+    }
+
+    #[test]
+    fn another_runaway_takes_it_back_and_asks_for_more() {
+        let mut h = holds(5);
+        h.found(1, K, 0, "x", false);
+        h.over(2, K);
+        (0..3).for_each(|_| h.ended(3, K, true));
+        assert_eq!(h.kinds[&K].at_once, 2);
+        h.ended(3, K, true);
+        h.ended(3, K, false);
+        assert_eq!(h.kinds[&K].clean, 0, "clean runs count in a row");
+        h.found(4, K, 0, "x", false);
+        assert_eq!((h.kinds[&K].at_once, h.kinds[&K].wanted), (1, 2 * CLEAN));
+        (5..20).for_each(|n| h.found(n, K, 0, "x", false));
+        assert_eq!(h.kinds[&K].wanted, MOST_CLEAN);
+    }
+
+    #[test]
+    fn all_routers_choose_the_same_engine_and_only_one_where_the_class_may_run() {
+        let (mut one, mut two) = (holds(6), holds(6));
+        for h in [&mut one, &mut two] {
+            h.found(1, K, 1, "x", false);
+        }
+        let (a, b) = (one.news(), two.news());
+        assert_eq!(a, b);
+        let open: Vec<u32> = (0..6).filter(|n| n % 2 == 0 && !a[0].closed.contains(&EngineId(*n))).collect();
+        assert_eq!(open.len(), 1);
+        // Its engine goes: another takes its place.
+        let listed = |n| Listed { engine: EngineId(n), up: n != open[0], classes: vec![true, n % 2 == 0] };
+        one.listed(&(0..6).map(listed).collect::<Vec<_>>());
+        let news = one.news();
+        assert!((0..6).any(|n| n % 2 == 0 && n != open[0] && !news[0].closed.contains(&EngineId(n))));
+    }
+
+    #[test]
+    fn time_and_operators_free_a_kind_and_a_group_keeps_one_engine() {
+        let mut h = holds(2);
+        h.found(0, K, 0, "x", false);
+        h.tick(10 * IDLE_STEP);
+        assert_eq!(h.kinds[&K].at_once, 1, "not while the runaway runs");
+        h.over(10 * IDLE_STEP, K);
+        (11..14).for_each(|n| h.tick(n * IDLE_STEP));
+        assert!(h.kinds.is_empty());
+        h.found(0, K, 0, "x", false);
+        assert!(h.release(K) && !h.release(K));
+        h.keep_away(BTreeMap::from([(9, vec![EngineId(0)])]));
+        assert_eq!(bound(&h.news()), [(u32::MAX, 1)]);
+        h.keep_away(BTreeMap::from([(9, vec![EngineId(0), EngineId(1)])]));
+        assert_eq!(bound(&h.news()), [(u32::MAX, 0)], "kept away from all, it would never run");
+    }
+
+    #[test]
+    fn holds_are_bounded() {
+        let mut h = holds(2);
+        (0..1000).for_each(|n| h.found(n, KindId(n), 0, "x", false));
+        assert_eq!(h.kinds.len(), MOST_HOLDS);
+        assert!(h.kinds.contains_key(&KindId(999)));
+    }
+}
--- /dev/null
+++ b/crates/runaway/src/judge.rs
@@ -0,0 +1,606 @@
+//! Owns the verdicts: which figure of an attempt is too much, who is at fault where several wait, and what is
+//! done about it.
+//!
+//! Told apart, in this order: who stands still is not at fault, but for circles; who holds others up is judged
+//! more strictly; work that engines tell is the attempt's own and no excuse is needed; where only time is known,
+//! it is divided by how slow the engine is for others; what all of a kind do is the kind's.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hoptiller::{EngineId, Micros};
+
+use crate::blame::Waits;
+use crate::change::Says;
+use crate::engines::stands_out;
+use crate::expect::{Expectation, Expected};
+use crate::interface::*;
+use crate::watch::{Out, Watch};
+
+/// Nothing is judged that has run for less.
+const YOUNG: f64 = 1_000_000.0;
+/// A figure must be over its bound for so long; one that is work already done needs no more proof.
+const SURE: Micros = 3_000_000;
+/// A share done is rough: so much is added to it, and what it leads to has so much more room.
+const ROUGH: f64 = 0.02;
+const ROOM: f64 = 1.25;
+/// Times usual that it must have run before its share done counts, and where that is still nothing.
+const SHOWN: f64 = 2.0;
+const SHOWN_NOTHING: f64 = 6.0;
+/// Notes from which a share done counts.
+const NOTES: u32 = 3;
+/// What lacks memory does its work several times over, which is not its own fault.
+pub(crate) const SPILLS: f64 = 3.0;
+/// Statements held up from which the holder is judged by this part of its bound.
+const CROWD: usize = 8;
+const CROWD_PART: f64 = 0.25;
+/// Times usual from which a statement counts as long, for its kind to have changed.
+pub(crate) const LONG: f64 = 4.0;
+/// Times the usual work for a row that is a bad plan.
+const BAD_PLAN: f64 = 4.0;
+/// A client that has taken rows for so long reads slowly.
+const READS_FOR: Micros = 30_000_000;
+/// Runs beyond its bound after which a kind that has changed has new figures.
+const ADOPT: u64 = 8;
+/// Where nothing tells who waits for whom: times usual from which a statement may stand behind a load.
+const MAY_STAND: f64 = 4.0;
+/// Runaways of kinds hardly known, within this time, for which such kinds are held together.
+const STRANGERS: usize = 3;
+const STRANGERS_IN: Micros = 300_000_000;
+/// A statement that is not known here, and was not told of for so long, is gone.
+const UNTOLD: Micros = 5_000_000;
+
+/// A figure that is too much.
+struct Excess {
+    evidence: Evidence,
+    /// It is work that was done: certain.
+    certain: bool,
+}
+
+impl Watch {
+    pub(crate) fn judge(&mut self, now: Micros) {
+        let ids: Vec<AttemptId> = self.outs.keys().copied().collect();
+        for id in &ids {
+            self.expectation(now, *id);
+        }
+        let waits = self.waits(now);
+        let slow_engines = self.judge_engines(now);
+        self.count_long(now, &ids);
+        for id in ids {
+            self.judge_one(now, id, &waits, &slow_engines);
+        }
+        self.judge_foreign(now, &waits);
+        self.act_due(now);
+        self.keep_groups_away();
+    }
+
+    // ---- one attempt ----------------------------------------------------------------------------
+
+    fn judge_one(&mut self, now: Micros, id: AttemptId, waits: &Waits, slow_engines: &BTreeSet<EngineId>) {
+        let Some(o) = self.outs.get(&id) else { return };
+        let subject = Subject::Statement(o.start.name.clone());
+        if o.flowing.is_some() {
+            return self.judge_reader(now, id, subject);
+        }
+        if o.gone.is_some() {
+            return; // It is judged no further: nothing new is told of it but by those behind it.
+        }
+        if let Some(circle) = waits.circle(&o.start.name) {
+            let blocks: Vec<String> = circle.iter().skip(1).map(|s| (*s).to_owned()).collect();
+            let stood = Evidence {
+                measure: Measure::Time,
+                figure: o.stood as f64,
+                usual: 0.0,
+                bar: 0.0,
+                basis: Basis::Settings,
+            };
+            let excess = Excess { evidence: stood, certain: false };
+            return self.over(now, id, Cause::Deadlock, &excess, blocks);
+        }
+        let Some(expected) = self.expected(id).copied() else { return };
+        let behind: Vec<String> = waits.behind(&o.start.name).iter().map(|s| (*s).to_owned()).collect();
+        let crowd = behind.len() >= CROWD;
+        let hog = self.hogs_memory(now, o, &expected);
+        let slow = self.slowness(now, o.start.engine, Some(id)).0;
+        let excess = excess(o, &expected, now, slow, if crowd { CROWD_PART } else { 1.0 });
+        // Who stands still is not at fault, whatever it took before.
+        let stands = o.stands(now).is_some();
+        let by_time_only =
+            excess.as_ref().is_some_and(|e| matches!(e.evidence.measure, Measure::Run | Measure::RunToCome));
+        // Where engines tell of others, one of which nothing comes is silent, not heavy: the routing's business.
+        let silent = o.notes == 0 && self.outs.values().any(|other| other.notes > 0);
+        let slow_place = slow_engines.contains(&o.start.engine);
+        let excused = stands || (by_time_only && !crowd && (slow_place || silent));
+        match (excess.filter(|_| !excused), hog) {
+            (_, Some(evidence)) => {
+                self.over(now, id, Cause::Memory, &Excess { evidence, certain: false }, Vec::new());
+            }
+            (Some(excess), None) => {
+                let cause = match (crowd, bad_plan(o, &expected)) {
+                    (true, _) => Cause::Blocks,
+                    (false, true) => Cause::BadPlan,
+                    (false, false) => Cause::Heavy,
+                };
+                self.over(now, id, cause, &excess, behind);
+            }
+            (None, None) => self.within(now, id, &subject),
+        }
+    }
+
+    /// It is over its bound.
+    fn over(&mut self, now: Micros, id: AttemptId, cause: Cause, excess: &Excess, blocks: Vec<String>) {
+        let engines = self.engines.iter().filter(|e| e.up).count();
+        let Some(o) = self.outs.get_mut(&id) else { return };
+        let since = *o.over.get_or_insert(now);
+        let (kind, subject) = (o.start.kind, Subject::Statement(o.start.name.clone()));
+        let of_kind = Subject::Kind(kind);
+        if self.findings.of(&of_kind).is_some_and(|f| f.cause == Cause::KindChanged) {
+            return; // Known: one notice for all of them.
+        }
+        let sure = excess.certain || now - since >= SURE;
+        let own_fault = matches!(cause, Cause::Heavy | Cause::BadPlan);
+        let says = match own_fault && !self.findings.is_runaway(&subject) {
+            true => self.changes.say(kind, now - since, engines),
+            false => Says::Alone,
+        };
+        if sure && says == Says::Changed {
+            return self.kind_changed(now, kind, id, excess.evidence);
+        }
+        let verdict = if sure && says == Says::Alone { Verdict::Runaway } else { Verdict::Suspect };
+        let Some(o) = self.outs.get(&id) else { return };
+        let found = Finding {
+            id: 0,
+            subject,
+            verdict,
+            cause,
+            class: Some(o.start.class),
+            kind: Some(kind),
+            label: o.start.label.to_string(),
+            engine: Some(o.start.engine),
+            started: o.at,
+            since,
+            at: now,
+            evidence: excess.evidence,
+            blocked: blocks.len(),
+            blocks: blocks.into_iter().take(BLOCKED).collect(),
+            note: "",
+        };
+        let mut out = std::mem::take(&mut self.decisions);
+        let news = self.findings.say(found, &mut out);
+        self.decisions = out;
+        if news && verdict == Verdict::Runaway {
+            self.act(now, id, cause);
+        }
+    }
+
+    fn within(&mut self, now: Micros, id: AttemptId, subject: &Subject) {
+        let Some(o) = self.outs.get_mut(&id) else { return };
+        // A runaway stays one until it ends: a figure that is told lower takes nothing back, save that those
+        // who waited for it or for each other do so no longer.
+        let waited = self.findings.of(subject).is_some_and(|f| {
+            f.verdict == Verdict::Suspect || matches!(f.cause, Cause::Deadlock | Cause::Memory)
+        });
+        if waited || self.findings.of(subject).is_none() {
+            o.over = None;
+            (o.end_at, o.resume_at) = (None, o.resume_at);
+        }
+        if waited {
+            let mut out = std::mem::take(&mut self.decisions);
+            self.findings.clear(now, subject, "it is within its bound", &mut out);
+            self.decisions = out;
+            self.uncount(now, id);
+        }
+    }
+
+    fn uncount(&mut self, now: Micros, id: AttemptId) {
+        if let Some(o) = self.outs.get_mut(&id).filter(|o| o.counts) {
+            o.counts = false;
+            self.holds.over(now, o.start.held_as);
+        }
+    }
+
+    fn judge_reader(&mut self, now: Micros, id: AttemptId, subject: Subject) {
+        let Some(o) = self.outs.get(&id) else { return };
+        let Some(since) = o.flowing.filter(|at| now - *at >= READS_FOR) else { return };
+        let evidence = Evidence {
+            measure: Measure::Time,
+            figure: (now - since) as f64,
+            usual: 0.0,
+            bar: READS_FOR as f64,
+            basis: Basis::Settings,
+        };
+        let found = Finding {
+            id: 0,
+            subject,
+            verdict: Verdict::Notice,
+            cause: Cause::SlowReader,
+            class: Some(o.start.class),
+            kind: Some(o.start.kind),
+            label: o.start.label.to_string(),
+            engine: Some(o.start.engine),
+            started: o.at,
+            since,
+            at: now,
+            evidence,
+            blocks: Vec::new(),
+            blocked: 0,
+            note: "its engine is done with it; the rows wait for its client",
+        };
+        let mut out = std::mem::take(&mut self.decisions);
+        self.findings.say(found, &mut out);
+        self.decisions = out;
+    }
+
+    /// It takes far more memory than its kind while others there wait for some.
+    fn hogs_memory(&self, now: Micros, o: &Out, expected: &Expectation) -> Option<Evidence> {
+        let (memory, e) = (o.news.memory_mb?, expected.memory?);
+        let waits =
+            |other: &&Out| other.start.engine == o.start.engine && other.stands(now) == Some(&Stands::Memory);
+        let crowd = self.outs.values().filter(waits).count() >= CROWD;
+        (memory > e.bar && crowd && o.stands(now).is_none()).then(|| evidence(Measure::Memory, memory, &e))
+    }
+
+    // ---- kinds ----------------------------------------------------------------------------------
+
+    /// Counts what runs long, for its kind to have changed.
+    fn count_long(&mut self, now: Micros, ids: &[AttemptId]) {
+        for id in ids {
+            let (Some(o), Some(e)) = (self.outs.get(id), self.expected(*id).copied()) else { continue };
+            if o.flowing.is_some() || o.gone.is_some() || !e.known || o.stands(now).is_some() {
+                continue;
+            }
+            let slow = self.slowness(now, o.start.engine, Some(*id)).0;
+            let long = measures(o, &e, now, slow)
+                .into_iter()
+                .any(|(_, figure, of, room)| figure > LONG * room * of.usual);
+            if long && o.moved(now) >= YOUNG {
+                self.changes.long(now, o.start.kind, *id, o.at, o.start.engine);
+            }
+        }
+    }
+
+    /// All of a kind run long: one notice, and what was said of some of them is taken back.
+    fn kind_changed(&mut self, now: Micros, kind: KindId, id: AttemptId, evidence: Evidence) {
+        let Some(o) = self.outs.get(&id) else { return };
+        let found = Finding {
+            id: 0,
+            subject: Subject::Kind(kind),
+            verdict: Verdict::Notice,
+            cause: Cause::KindChanged,
+            class: Some(o.start.class),
+            kind: Some(kind),
+            label: o.start.label.to_string(),
+            engine: None,
+            started: o.at,
+            since: o.over.unwrap_or(now),
+            at: now,
+            evidence,
+            blocks: Vec::new(),
+            blocked: 0,
+            note: "all statements of this kind run long since then",
+        };
+        let mut out = std::mem::take(&mut self.decisions);
+        self.findings.say(found, &mut out);
+        let of_kind: Vec<(AttemptId, Subject)> = self
+            .outs
+            .iter()
+            .filter(|(_, o)| o.start.kind == kind)
+            .map(|(id, o)| (*id, Subject::Statement(o.start.name.clone())))
+            .collect();
+        for (id, subject) in of_kind {
+            self.findings.clear(now, &subject, "all of its kind run long", &mut out);
+            self.uncount(now, id);
+            if let Some(o) = self.outs.get_mut(&id) {
+                o.end_at = None;
+            }
+        }
+        self.decisions = out;
+        self.holds.release(kind);
+        self.tell_holds();
+    }
+
+    /// A kind that has changed has new figures once enough of it has run.
+    pub(crate) fn maybe_adopt(&mut self, now: Micros, kind: KindId, runs: u64) {
+        let subject = Subject::Kind(kind);
+        let told = self.findings.of(&subject).is_some_and(|f| f.cause == Cause::KindChanged);
+        let engines = self.engines.iter().filter(|e| e.up).count();
+        let changed = told || self.changes.say(kind, 0, engines) == Says::Changed;
+        if changed && runs >= ADOPT {
+            self.book.adopt(kind);
+            self.changes.forget(kind);
+            let mut out = std::mem::take(&mut self.decisions);
+            self.findings.clear(now, &subject, "its new figures are taken as usual", &mut out);
+            self.decisions = out;
+        }
+    }
+
+    // ---- engines --------------------------------------------------------------------------------
+
+    /// Engines on which everything runs long, without one that is at fault for it.
+    fn judge_engines(&mut self, now: Micros) -> BTreeSet<EngineId> {
+        let paces: Vec<(EngineId, (f64, usize))> =
+            self.engines.iter().map(|e| (e.engine, self.slowness(now, e.engine, None))).collect();
+        let mut slow = BTreeSet::new();
+        let mut out = std::mem::take(&mut self.decisions);
+        for (engine, own) in &paces {
+            let subject = Subject::Engine(*engine);
+            let others: Vec<(f64, usize)> = paces.iter().filter(|p| p.0 != *engine).map(|p| p.1).collect();
+            let at_fault = |f: &Finding| f.engine == Some(*engine) && f.verdict == Verdict::Runaway;
+            if !stands_out(*own, &others) || self.findings.open().any(at_fault) {
+                self.findings.clear(
+                    now,
+                    &subject,
+                    "it is no slower than the others, or others are at fault",
+                    &mut out,
+                );
+                continue;
+            }
+            slow.insert(*engine);
+            let evidence = Evidence {
+                measure: Measure::Times,
+                figure: own.0,
+                usual: 1.0,
+                bar: crate::engines::SLOW,
+                basis: Basis::Class(own.1 as u64),
+            };
+            let found = Finding {
+                id: 0,
+                subject,
+                verdict: Verdict::Notice,
+                cause: Cause::SlowEngine,
+                class: None,
+                kind: None,
+                label: String::new(),
+                engine: Some(*engine),
+                started: now,
+                since: now,
+                at: now,
+                evidence,
+                blocks: Vec::new(),
+                blocked: 0,
+                note: "what runs there is not at fault for it",
+            };
+            self.findings.say(found, &mut out);
+        }
+        // Engines that are listed no more.
+        let gone: Vec<Subject> = self
+            .findings
+            .open()
+            .map(|f| f.subject.clone())
+            .filter(|s| matches!(s, Subject::Engine(e) if !paces.iter().any(|p| p.0 == *e)))
+            .collect();
+        gone.iter().for_each(|s| self.findings.clear(now, s, "the engine is not listed any more", &mut out));
+        self.decisions = out;
+        slow
+    }
+
+    // ---- others' statements ---------------------------------------------------------------------
+
+    /// Statements of other routers, or of an earlier life of this one, by what stands behind them here.
+    fn judge_foreign(&mut self, now: Micros, waits: &Waits) {
+        let mut names: BTreeSet<String> = self.foreign.keys().cloned().collect();
+        // Own ones for which nobody waits at this end: they are known by name, and judged alike.
+        let ghosts = self.ghosts.iter().filter_map(|id| self.outs.get(id)).map(|o| o.start.name.clone());
+        names.extend(ghosts);
+        for name in names {
+            let behind: Vec<String> = waits.behind(&name).iter().map(|s| (*s).to_owned()).collect();
+            let subject = Subject::Statement(name.clone());
+            let ghost = self.named(&name).and_then(|id| self.outs.get(&id).map(|o| (id, o)));
+            let (engine, class, since, over) = match (&ghost, self.foreign.get(&name)) {
+                (Some((_, o)), _) => (o.start.engine, Some(o.start.class), o.at, o.over),
+                (None, Some(f)) => {
+                    if now.saturating_sub(f.told) > UNTOLD {
+                        self.foreign.remove(&name);
+                        let mut out = std::mem::take(&mut self.decisions);
+                        self.findings.clear(now, &subject, "nothing stands behind it any more", &mut out);
+                        self.decisions = out;
+                        continue;
+                    }
+                    (f.engine, f.class, f.since, f.over)
+                }
+                (None, None) => continue,
+            };
+            if behind.len() < CROWD {
+                continue;
+            }
+            // Its kind is not known here: what its class takes, or the class that takes longest.
+            let of = |c: usize| self.book.expect_of_class(c, &self.cfg.classes[c]);
+            let all = (0..self.cfg.classes.len()).map(of);
+            let widest = || all.max_by(|a, b| a.bar.total_cmp(&b.bar));
+            let Some(e) = class.map(of).or_else(widest) else { continue };
+            let ran = now.saturating_sub(since) as f64;
+            if ran <= e.bar * CROWD_PART {
+                continue;
+            }
+            let since_over = over.unwrap_or(now);
+            let verdict = if now - since_over >= SURE { Verdict::Runaway } else { Verdict::Suspect };
+            let (kind, label) = match &ghost {
+                Some((_, o)) => (Some(o.start.kind), o.start.label.to_string()),
+                None => (None, String::new()),
+            };
+            let found = Finding {
+                id: 0,
+                subject,
+                verdict,
+                cause: Cause::Blocks,
+                class,
+                kind,
+                label,
+                engine: Some(engine),
+                started: since,
+                since: since_over,
+                at: now,
+                evidence: evidence(Measure::Run, ran, &Expected { bar: e.bar * CROWD_PART, ..e }),
+                blocked: behind.len(),
+                blocks: behind.into_iter().take(BLOCKED).collect(),
+                note: match ghost {
+                    Some(_) => "this router waits for it no longer; its engine goes on",
+                    None => "not a statement of this router's present life",
+                },
+            };
+            let id = ghost.map(|(id, _)| id);
+            let mut out = std::mem::take(&mut self.decisions);
+            let news = self.findings.say(found, &mut out);
+            self.decisions = out;
+            if let Some(f) = self.foreign.get_mut(&name) {
+                f.over = Some(since_over);
+            }
+            if let Some(o) = id.and_then(|id| self.outs.get_mut(&id)) {
+                o.over = Some(since_over);
+            }
+            if let (true, Verdict::Runaway, Some(id)) = (news, verdict, id) {
+                self.act(now, id, Cause::Blocks);
+            }
+        }
+    }
+
+    /// Where engines don't tell who waits for whom: what reads or writes the tables of a load that came before
+    /// it at the same engine, and takes far longer than usual, may stand behind that.
+    pub(crate) fn infer(&self, now: Micros, waits: &mut Waits) {
+        let told = self.outs.values().any(|o| o.notes > 0 || o.stands.is_some());
+        if told {
+            return;
+        }
+        let loads = |o: &&Out| self.cfg.classes[o.start.class].holds && o.start.group.is_some();
+        for load in self.outs.values().filter(loads) {
+            for o in self.outs.values().filter(|o| o.gone.is_none()) {
+                let same = o.start.engine == load.start.engine && o.start.group == load.start.group;
+                let usual = self.expected(o.start.attempt).map_or(f64::INFINITY, |e| e.run.usual);
+                if same && o.at > load.at && o.moved(now) > MAY_STAND * usual {
+                    waits.add(&o.start.name, &load.start.name);
+                }
+            }
+        }
+    }
+
+    // ---- acts -----------------------------------------------------------------------------------
+
+    /// What is done about a runaway, by the rules for its class.
+    fn act(&mut self, now: Micros, id: AttemptId, cause: Cause) {
+        let Some(o) = self.outs.get_mut(&id) else { return };
+        let (class, kind, label) = (o.start.class, o.start.kind, o.start.label.clone());
+        let spec = &self.cfg.classes[class];
+        let acts = spec.acts;
+        let alive = o.gone.is_none() && o.flowing.is_none();
+        if acts.end && alive {
+            o.end_at = Some(now + self.cfg.end_after);
+        }
+        // Danger: one that holds what others wait for would hold it all the longer.
+        let holds_up = spec.holds || matches!(cause, Cause::Blocks | Cause::Deadlock | Cause::Memory);
+        if acts.pause && alive && !holds_up && !o.paused {
+            (o.paused, o.resume_at) = (true, Some(now + self.cfg.pause_for));
+            self.decisions.push(Decision::Pause(id));
+        }
+        if !acts.hold {
+            return;
+        }
+        let held_as = self.hold_kind(now, kind, class);
+        self.holds.found(now, held_as, class, &label, acts.lower);
+        if let Some(o) = self.outs.get_mut(&id) {
+            (o.counts, o.start.held_as) = (true, held_as);
+        }
+    }
+
+    /// The kind to hold: the statement's own, or all that are hardly known where several of them ran away, as
+    /// when every text is another one.
+    fn hold_kind(&mut self, now: Micros, kind: KindId, class: usize) -> KindId {
+        if self.book.is_known(kind) {
+            return kind;
+        }
+        let times = &mut self.strangers[class];
+        times.push_back(now);
+        while times.front().is_some_and(|at| now - *at > STRANGERS_IN) {
+            times.pop_front();
+        }
+        // While the class itself is new, all of its kinds are.
+        match times.len() >= STRANGERS && self.book.known_of(class) > 0 {
+            true => KindId::unknown(&self.cfg.classes[class].name),
+            false => kind,
+        }
+    }
+
+    /// Ends and resumes what is due.
+    fn act_due(&mut self, now: Micros) {
+        for (id, o) in &mut self.outs {
+            let alive = o.gone.is_none() && o.flowing.is_none();
+            if o.resume_at.is_some_and(|at| at <= now || !alive) {
+                o.resume_at = None;
+                self.decisions.push(Decision::Resume(*id));
+            }
+            if alive && !o.ended && o.end_at.is_some_and(|at| at <= now) {
+                o.ended = true;
+                self.decisions.push(Decision::End(*id));
+            }
+        }
+    }
+
+    /// Keeps groups of tables away from engines where a runaway load holds them.
+    fn keep_groups_away(&mut self) {
+        let mut away: BTreeMap<u64, Vec<EngineId>> = BTreeMap::new();
+        for o in self.outs.values() {
+            let spec = &self.cfg.classes[o.start.class];
+            let (true, true, Some(group)) = (spec.holds, spec.acts.hold, o.start.group) else { continue };
+            if self.findings.is_runaway(&Subject::Statement(o.start.name.clone())) {
+                let engines = away.entry(group).or_default();
+                if !engines.contains(&o.start.engine) {
+                    engines.push(o.start.engine);
+                }
+            }
+        }
+        self.holds.keep_away(away);
+    }
+}
+
+fn evidence(measure: Measure, figure: f64, e: &Expected) -> Evidence {
+    Evidence { measure, figure, usual: e.usual, bar: e.bar, basis: e.basis }
+}
+
+/// All figures of an attempt that can be judged: what it is, its value, what is expected, and the room that it
+/// is given beyond the bound.
+fn measures<'e>(
+    o: &Out,
+    e: &'e Expectation,
+    now: Micros,
+    slow: f64,
+) -> Vec<(Measure, f64, &'e Expected, f64)> {
+    let moved = o.moved(now);
+    let mut all = Vec::new();
+    let share = o.news.done.filter(|done| {
+        let shown = if *done > 0.0 { SHOWN } else { SHOWN_NOTHING };
+        o.notes >= NOTES && moved >= shown * e.run.usual
+    });
+    match o.news.work {
+        Some(work) => {
+            all.push((Measure::Work, work as f64, &e.work, 1.0));
+            if let Some(done) = share {
+                all.push((Measure::WorkToCome, work as f64 / (done + ROUGH), &e.work, ROOM));
+            }
+        }
+        None => {
+            all.push((Measure::Run, moved / slow, &e.run, 1.0));
+            if let Some(done) = share {
+                all.push((Measure::RunToCome, moved / slow / (done + ROUGH), &e.run, ROOM));
+            }
+        }
+    }
+    all
+}
+
+/// The figure that is furthest over its bound, if any is.
+fn excess(o: &Out, e: &Expectation, now: Micros, slow: f64, part: f64) -> Option<Excess> {
+    if o.moved(now) < YOUNG {
+        return None;
+    }
+    let spills = if o.news.spills { SPILLS } else { 1.0 };
+    let over = |(measure, figure, of, room): (Measure, f64, &Expected, f64)| {
+        let bar = of.bar * room * spills * part;
+        (figure > bar).then(|| (figure / bar, evidence(measure, figure, &Expected { bar, ..*of })))
+    };
+    let worst = measures(o, e, now, slow).into_iter().filter_map(over).max_by(|a, b| a.0.total_cmp(&b.0));
+    worst.map(|(_, evidence)| Excess { certain: evidence.measure == Measure::Work && part == 1.0, evidence })
+}
+
+/// Whether it does far more work for what it reads than its kind.
+fn bad_plan(o: &Out, e: &Expectation) -> bool {
+    let (Some(work), Some(rows), Some(usual)) = (o.news.work, o.news.rows, e.per_rows) else { return false };
+    work as f64 * 1000.0 / (rows as f64).max(1.0) > BAD_PLAN * usual
+}
