--- a/crates/runaway/src/engines.rs
+++ b/crates/runaway/src/engines.rs
@@ -1,5 +1,5 @@
-//! Owns how slow each engine is by itself: the median, over different statements that ran or run there, of how
-//! much longer than usual they take. Where everything is slow, no statement is at fault for it.
+//! Owns how slow each engine is by itself: the median, over the kinds that ran or run there, of how much
+//! longer than usual they take. Where everything is slow, no statement is at fault for it.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -52,22 +52,34 @@
     pub fn slowness(&self, now: Micros, engine: EngineId, running: &[Sample]) -> (f64, usize) {
         let since = now.saturating_sub(FRESH);
         let ended = self.ends.get(&engine).into_iter().flatten().filter(|(at, _)| *at >= since);
-        let mut times: Vec<f64> =
-            ended.map(|(_, s)| s.times).chain(running.iter().map(|s| s.times)).collect();
-        if times.len() < ENOUGH {
-            return (1.0, times.len());
+        let mut kinds: BTreeMap<KindId, Vec<f64>> = BTreeMap::new();
+        for s in ended.map(|(_, s)| s).chain(running) {
+            kinds.entry(s.kind).or_default().push(s.times);
         }
-        times.sort_by(f64::total_cmp);
-        // The lower one of two in the middle: it takes more than half to excuse one.
-        (times[(times.len() - 1) / 2].clamp(1.0, MOST), times.len())
+        let n = kinds.values().map(Vec::len).sum();
+        if n < ENOUGH {
+            return (1.0, n);
+        }
+        // Kind by kind: one that has changed is slow everywhere, and says nothing of an engine.
+        let mut of_kinds: Vec<f64> = kinds.values_mut().map(|times| middle(times)).collect();
+        (middle(&mut of_kinds).clamp(1.0, MOST), n)
     }
 }
 
-/// Whether an engine stands out among all.
-pub fn stands_out(own: (f64, usize), others: &[(f64, usize)]) -> bool {
+/// The median; of two in the middle the lower: it takes more than half to excuse one.
+fn middle(of: &mut [f64]) -> f64 {
+    of.sort_by(f64::total_cmp);
+    of.get(of.len().saturating_sub(1) / 2).copied().unwrap_or(1.0)
+}
+
+/// Whether an engine stands out among all. One that was said to does so until it is clearly better: a notice
+/// that comes and goes is none.
+pub fn stands_out(own: (f64, usize), others: &[(f64, usize)], said: bool) -> bool {
     let mut known: Vec<f64> = others.iter().filter(|o| o.1 >= ENOUGH).map(|o| o.0).collect();
-    known.sort_by(f64::total_cmp);
-    let usual = known.get(known.len().saturating_sub(1) / 2).copied().unwrap_or(1.0);
+    let usual = middle(&mut known);
+    if said {
+        return own.0 >= SLOW / 2.0 && own.0 >= AGAINST_OTHERS / 2.0 * usual;
+    }
     own.1 > ENOUGH && own.0 >= SLOW && own.0 >= AGAINST_OTHERS * usual
 }
 
@@ -87,6 +99,10 @@
         assert_eq!(slow(&[1.0, 1.2, 50.0, 0.9]), 1.0);
         assert_eq!(slow(&[4.0, 5.0, 50.0, 6.0]), 5.0);
         assert_eq!(slow(&[400.0; 5]), MOST);
+        // A kind that takes long among others that don't.
+        let mut mixed = samples(&[50.0; 9]);
+        mixed.push(Sample { kind: KindId(2), times: 1.1 });
+        assert_eq!(paces.slowness(0, EngineId(1), &mixed), (1.1, 10));
     }
 
     #[test]
@@ -103,9 +119,10 @@
 
     #[test]
     fn one_engine_stands_out_only_against_the_others() {
-        assert!(stands_out((4.0, 8), &[(1.0, 8), (1.2, 8)]));
-        assert!(!stands_out((4.0, 8), &[(3.0, 8), (4.0, 8), (1.0, 0)]));
-        assert!(!stands_out((2.5, 8), &[(1.0, 8)]) && !stands_out((9.0, ENOUGH), &[(1.0, 8)]));
-        assert!(stands_out((4.0, 8), &[]));
+        let new = |own, others: &[_]| stands_out(own, others, false);
+        assert!(new((4.0, 8), &[(1.0, 8), (1.2, 8)]) && new((4.0, 8), &[]));
+        assert!(!new((4.0, 8), &[(3.0, 8), (4.0, 8), (1.0, 0)]));
+        assert!(!new((2.5, 8), &[(1.0, 8)]) && !new((9.0, ENOUGH), &[(1.0, 8)]));
+        assert!(stands_out((2.5, 8), &[(1.0, 8)], true) && !stands_out((1.2, 8), &[(1.0, 8)], true));
     }
 }
--- a/crates/runaway/src/judge.rs
+++ b/crates/runaway/src/judge.rs
@@ -63,6 +63,9 @@
             self.expectation(now, *id);
         }
         let waits = self.waits(now);
+        for o in self.outs.values_mut() {
+            o.held_up = waits.stands(&o.start.name) || o.stands(now).is_some();
+        }
         let slow_engines = self.judge_engines(now);
         self.count_long(now, &ids);
         for id in ids {
@@ -103,7 +106,7 @@
         let slow = self.slowness(now, o.start.engine, Some(id)).0;
         let excess = excess(o, &expected, now, slow, if crowd { CROWD_PART } else { 1.0 });
         // Who stands still is not at fault, whatever it took before.
-        let stands = o.stands(now).is_some();
+        let stands = o.held_up;
         let by_time_only =
             excess.as_ref().is_some_and(|e| matches!(e.evidence.measure, Measure::Run | Measure::RunToCome));
         // Where engines tell of others, one of which nothing comes is silent, not heavy: the routing's business.
@@ -245,7 +248,7 @@
     fn count_long(&mut self, now: Micros, ids: &[AttemptId]) {
         for id in ids {
             let (Some(o), Some(e)) = (self.outs.get(id), self.expected(*id).copied()) else { continue };
-            if o.flowing.is_some() || o.gone.is_some() || !e.known || o.stands(now).is_some() {
+            if o.flowing.is_some() || o.gone.is_some() || !e.known || o.held_up {
                 continue;
             }
             let slow = self.slowness(now, o.start.engine, Some(*id)).0;
@@ -307,6 +310,7 @@
         if changed && runs >= ADOPT {
             self.book.adopt(kind);
             self.changes.forget(kind);
+            self.expect_anew(kind);
             let mut out = std::mem::take(&mut self.decisions);
             self.findings.clear(now, &subject, "its new figures are taken as usual", &mut out);
             self.decisions = out;
@@ -325,7 +329,8 @@
             let subject = Subject::Engine(*engine);
             let others: Vec<(f64, usize)> = paces.iter().filter(|p| p.0 != *engine).map(|p| p.1).collect();
             let at_fault = |f: &Finding| f.engine == Some(*engine) && f.verdict == Verdict::Runaway;
-            if !stands_out(*own, &others) || self.findings.open().any(at_fault) {
+            let said = self.findings.of(&subject).is_some();
+            if !stands_out(*own, &others, said) || self.findings.open().any(at_fault) {
                 self.findings.clear(
                     now,
                     &subject,
@@ -406,7 +411,8 @@
             let of = |c: usize| self.book.expect_of_class(c, &self.cfg.classes[c]);
             let all = (0..self.cfg.classes.len()).map(of);
             let widest = || all.max_by(|a, b| a.bar.total_cmp(&b.bar));
-            let Some(e) = class.map(of).or_else(widest) else { continue };
+            let own = ghost.as_ref().and_then(|(id, _)| self.expected(*id)).map(|e| e.run);
+            let Some(e) = own.or_else(|| class.map(of)).or_else(widest) else { continue };
             let ran = now.saturating_sub(since) as f64;
             if ran <= e.bar * CROWD_PART {
                 continue;
--- a/crates/runaway/src/watch.rs
+++ b/crates/runaway/src/watch.rs
@@ -55,6 +55,8 @@
     pub ended: bool,
     /// It counts in its kind's hold.
     pub counts: bool,
+    /// It stands behind another, as far as can be seen.
+    pub held_up: bool,
     expectation: Option<(Micros, Expectation)>,
 }
 
@@ -154,6 +156,7 @@
             paused: false,
             ended: false,
             counts: false,
+            held_up: false,
             expectation: None,
         };
         self.outs.insert(id, out);
@@ -254,7 +257,7 @@
             rows: o.news.rows.map(|r| r as f64),
             memory: o.news.memory_mb,
         };
-        if expected.known && !beyond {
+        if expected.known && !beyond && !(o.held_up && o.stood == 0) {
             let sample = Sample { kind: s.kind, times: moved / expected.run.usual.max(1.0) };
             self.paces.ended(now, s.engine, sample);
         }
@@ -401,6 +404,11 @@
         (self.book.len(), self.outs.len(), self.foreign.len())
     }
 
+    /// What was expected of a kind's attempts is looked up anew.
+    pub(crate) fn expect_anew(&mut self, kind: KindId) {
+        self.outs.values_mut().filter(|o| o.start.kind == kind).for_each(|o| o.expectation = None);
+    }
+
     /// What is expected of an attempt; looked up again now and then.
     pub(crate) fn expectation(&mut self, now: Micros, attempt: AttemptId) -> Option<Expectation> {
         let o = self.outs.get_mut(&attempt)?;
@@ -425,6 +433,7 @@
             .outs
             .iter()
             .filter(|(id, o)| o.start.engine == engine && Some(**id) != without && o.gone.is_none())
+            .filter(|(_, o)| !o.held_up && o.flowing.is_none())
             .filter(|(_, o)| !self.findings.is_runaway(&Subject::Statement(o.start.name.clone())))
             .filter_map(|(id, o)| {
                 let e = self.expected(*id).filter(|e| e.known)?;
