--- a/crates/cli/src/commands/day/crowd.rs
+++ b/crates/cli/src/commands/day/crowd.rs
@@ -166,6 +166,7 @@
             trace: format!("{}-{number:016x}", chosen.class),
             class: chosen.class.clone(),
             key,
+            tags: String::new(),
             text: chosen.text.clone(),
             patience: chosen.patience,
             manner: Manner { leaves_after: leaves.then_some(2), ..Manner::default() },
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -4,5 +4,7 @@
 pub mod check;
 pub mod day;
 pub mod demo;
+pub mod experiment;
 pub mod route;
+pub mod runaways;
 pub mod standin;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -38,6 +38,11 @@
     Standin(commands::standin::Args),
     /// Plays a scripted day over sockets: routers, engines, clients and what goes wrong; then judges it.
     Day(commands::day::Args),
+    /// Shows what a running router found to run away and what it holds, and frees held kinds.
+    Runaways(commands::runaways::Args),
+    /// Studies in simulated time, with the routers' own code.
+    #[command(subcommand)]
+    Experiment(commands::experiment::Args),
     /// Judges the seven rules from a folder of records.
     Audit(commands::audit::Args),
 }
@@ -51,6 +56,8 @@
         Command::Check(args) => commands::check::run(&args),
         Command::Standin(args) => commands::standin::run(&args),
         Command::Day(args) => commands::day::run(&args),
+        Command::Runaways(args) => commands::runaways::run(&args),
+        Command::Experiment(args) => commands::experiment::run(&args),
         Command::Audit(args) => commands::audit::run(&args),
     };
     match done {
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -5,175 +5,34 @@
 //! numbered; each can be asked for again, until the next one is asked for, and is then the same.
 
 mod course;
+mod interface;
 mod page;
+mod runaways;
 mod statement;
 mod table;
 
 use std::collections::VecDeque;
-use std::rc::Rc;
 
 use hoptiller::{Action, Arrival, Controller, EngineId, Event, KeyId, Micros, RequestId};
+use hoptiller_runaway::{End, Watch};
 
 pub use course::{Course, CourseAttempt, ending_word};
+pub use interface::*;
 pub use page::{Answer, Content, Failure, Final, Page};
 pub use statement::Place;
-use statement::{Stage, Statement};
+use statement::{Stage, Statement, Watched};
 use table::Table;
 
-/// A statement in a router's table: its number in that router's life.
-pub type StatementId = u64;
-
 /// Between the end of an attempt and the moment when the client gives up, the decision and the answer need
 /// time. The decision module keeps 60 ms of it for itself.
 const ANSWER_MARGIN: Micros = 150_000;
 
-/// Bounds that the core keeps.
-#[derive(Clone, Copy, Debug)]
-pub struct Bounds {
-    /// Statements at once that are not answered.
-    pub statements: usize,
-    /// Answered ones kept for clients that ask again.
-    pub answered: usize,
-    /// How long those are kept.
-    pub keep: Micros,
-    /// A client that has not asked for so long has gone.
-    pub abandon_after: Micros,
-    /// Bytes of all pages held.
-    pub held_bytes: u64,
-}
-
-/// What a client wants done.
-#[derive(Clone, Debug)]
-pub struct Submission {
-    /// Its class, by number.
-    pub class: usize,
-    /// Its tenant, by number.
-    pub tenant: Option<usize>,
-    /// Its ordering key.
-    pub key: Option<String>,
-    /// The group of tables that it reads or writes.
-    pub tables: Option<String>,
-    /// The client says that it tries again.
-    pub repeat: bool,
-    /// How long the client waits, where it says so; never longer than its class's patience.
-    pub patience: Option<Micros>,
-    /// What engines are sent.
-    pub work: Rc<Work>,
-}
-
-/// What engines are sent: text, and the session fields that go with it.
-#[derive(Clone, Debug, Default)]
-pub struct Work {
-    /// The statement.
-    pub text: String,
-    /// Fields to pass on.
-    pub fields: Vec<(String, String)>,
-}
-
-/// Why a statement is not taken. Nothing is owed for it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Turned {
-    /// The table is full.
-    Full,
-    /// The router is ending.
-    Ending,
-}
-
-/// What the shell is to do.
-#[derive(Clone, Debug)]
-pub enum Command {
-    /// Send an attempt.
-    Send(Attempt),
-    /// An attempt's next page may be fetched.
-    Fetch {
-        /// The statement.
-        id: StatementId,
-        /// Which attempt.
-        hop: u32,
-    },
-    /// Withdraw an attempt and tell how it ended.
-    Withdraw {
-        /// The statement.
-        id: StatementId,
-        /// Which attempt.
-        hop: u32,
-    },
-    /// The rest of an attempt's result is not wanted; nothing need be told.
-    Release {
-        /// The statement.
-        id: StatementId,
-        /// Which attempt.
-        hop: u32,
-    },
-    /// Ask an engine for its load.
-    Probe(EngineId),
-    /// Ask discovery now.
-    AskDiscovery,
-    /// There is news for those who wait for this statement.
-    Wake(StatementId),
-    /// A statement's final answer is settled.
-    Settled {
-        /// The statement.
-        id: StatementId,
-        /// Its class.
-        class: usize,
-        /// How.
-        how: Final,
-        /// Time since it came.
-        after: Micros,
-        /// Attempts made.
-        attempts: u32,
-    },
-}
-
-/// An attempt to be sent.
-#[derive(Clone, Debug)]
-pub struct Attempt {
-    /// The statement.
-    pub id: StatementId,
-    /// Which attempt, from 0.
-    pub hop: u32,
-    /// Where to.
-    pub engine: EngineId,
-    /// Its class.
-    pub class: usize,
-    /// Priority, 0 to 3, where one was set.
-    pub priority: Option<u8>,
-    /// Memory to grant, in MB; 0 leaves it to the engine.
-    pub grant: f64,
-    /// When to give it up.
-    pub until: Micros,
-    /// What to send.
-    pub work: Rc<Work>,
-}
-
-/// How an attempt ended without its result.
-#[derive(Clone, Debug)]
-pub struct Ended {
-    /// How.
-    pub ending: hoptiller::Ending,
-    /// What was seen, for people.
-    pub why: String,
-    /// The engine's load, where told.
-    pub report: Option<hoptiller::LoadReport>,
-}
-
-/// What a poll finds.
-#[derive(Clone, Debug)]
-pub enum Poll {
-    /// An answer.
-    Answer(Rc<Answer>),
-    /// Nothing new yet: wait for [`Command::Wake`].
-    Wait,
-    /// That answer was given and its successor asked for, or the statement is long over.
-    Gone,
-    /// No such answer was ever offered.
-    Unknown,
-}
-
 /// The core of one router.
 pub struct Core {
     controller: Controller,
+    watch: Watch,
+    fleet: runaways::Fleet,
+    names: Names,
     bounds: Bounds,
     patience: Vec<Micros>,
     table: Table,
@@ -193,8 +52,13 @@
         cfg: hoptiller::Settings,
         seed: u64,
         bounds: Bounds,
+        watch: Watch,
+        names: Names,
     ) -> Result<Core, hoptiller::SettingsError> {
         Ok(Core {
+            fleet: runaways::Fleet::new(&cfg),
+            watch,
+            names,
             patience: cfg.classes.iter().map(|c| c.deadline).collect(),
             controller: Controller::new(cfg, seed)?,
             bounds,
@@ -221,7 +85,11 @@
         }
         let longest = self.patience[s.class];
         let valid_until = now.saturating_add(s.patience.unwrap_or(longest).min(longest));
-        let id = self.table.insert(|id| Statement::new(id, &s, now, valid_until));
+        let kind = self.watch.kind(s.class, s.fingerprint);
+        let held_as = self.watch.arrived(now, kind, s.class, &s.label);
+        let group = s.tables.as_deref().map(|t| hash(t) >> 32);
+        let watched = Watched { kind, held_as, label: s.label.clone(), announced: s.announced, group };
+        let id = self.table.insert(|id| Statement::new(id, &s, watched, now, valid_until));
         self.table.watch(now + self.bounds.abandon_after, id);
         self.events.push(Event::Arrival(Arrival {
             request: RequestId(id),
@@ -231,9 +99,9 @@
             valid_until,
             guess: None,
             want_mb: 0.0,
-            group: s.tables.as_deref().map(|t| hash(t) >> 32),
+            group,
             retry: s.repeat,
-            kind: None,
+            kind: Some(held_as.0),
         }));
         Ok(id)
     }
@@ -288,6 +156,7 @@
                 // Its work is done: only the rest of the result is let go.
                 let told = matches!(s.stage, Stage::Flowing { .. });
                 self.commands.push_back(Command::Release { id, hop });
+                self.watch_ended(now, id, hop, End::Good, None);
                 if !told {
                     self.tell_served(now, id, hop);
                 }
@@ -320,7 +189,8 @@
     // ---- engines --------------------------------------------------------------------------------
 
     /// News of the engine list.
-    pub fn list(&mut self, scope: hoptiller::Scope, entries: Vec<hoptiller::Entry>) {
+    pub fn list(&mut self, now: Micros, scope: hoptiller::Scope, entries: Vec<hoptiller::Entry>) {
+        self.watch_list(now, scope, &entries);
         self.events.push(Event::List(scope, entries));
     }
 
@@ -338,6 +208,7 @@
     /// A page of an attempt's result has come.
     pub fn page(&mut self, now: Micros, id: StatementId, hop: u32, page: Page) {
         let held = page.bytes();
+        self.watch_page(now, id, hop, &page);
         let Some(s) = self.table.get_mut(id) else {
             self.commands.push_back(Command::Release { id, hop });
             return;
@@ -369,6 +240,7 @@
 
     /// An engine's own answer that the statement is wrong: it is final.
     pub fn wrong(&mut self, now: Micros, id: StatementId, hop: u32, failure: Failure) {
+        self.watch_ended(now, id, hop, End::Failed, None);
         let Some(s) = self.table.get_mut(id) else { return };
         let event = s.outcome_good(hop, now);
         self.events.extend(event);
@@ -377,8 +249,9 @@
 
     /// An attempt has ended without its result, or before the end of it.
     pub fn ended(&mut self, now: Micros, id: StatementId, hop: u32, ended: Ended) {
+        self.watch_outcome(now, id, hop, ended.ending);
         let Some(s) = self.table.get_mut(id) else { return };
-        let event = s.outcome(hop, now, &ended);
+        let event = s.outcome(hop, now, &ended, false);
         match s.stage {
             Stage::Flowing { hop: from, .. } if from == hop => {
                 // Danger: rows have gone out. A second attempt could repeat them, so there is none.
@@ -408,7 +281,8 @@
 
     /// One round of decisions over what came since the last.
     pub fn round(&mut self, now: Micros) {
-        self.watch(now);
+        self.tidy(now);
+        self.look(now);
         if self.wake_at.is_some_and(|at| at <= now) {
             self.wake_at = None;
             self.events.push(Event::Wakeup);
@@ -443,7 +317,9 @@
                 let until = s.valid_until.saturating_sub(ANSWER_MARGIN);
                 let until = not_past.map_or(until, |at| at.min(until)).max(now);
                 let attempt = s.attempt(now, engine, until);
+                let hop = attempt.hop;
                 self.commands.push_back(Command::Send(attempt));
+                self.watch_sent(now, request.0, hop, engine);
             }
             Action::Cancel { request, hop } => {
                 self.commands.push_back(Command::Withdraw { id: request.0, hop });
@@ -558,7 +434,7 @@
     }
 
     /// Looks after those whose time has come: clients that went away, answers that were kept long enough.
-    fn watch(&mut self, now: Micros) {
+    fn tidy(&mut self, now: Micros) {
         while let Some(id) = self.table.due(now) {
             let Some(s) = self.table.get(id) else { continue };
             let gone_at = s.asked.saturating_add(self.bounds.abandon_after);
--- a/crates/router/src/core/page.rs
+++ b/crates/router/src/core/page.rs
@@ -55,6 +55,13 @@
         /// For people.
         why: String,
     },
+    /// A rule ended it, and nothing of it stands; trying again is harmless.
+    EndedByRule {
+        /// When to come back.
+        hold_off: Option<Micros>,
+        /// For people.
+        why: String,
+    },
     /// Nothing promised: it may have run.
     MayHaveRun(String),
     /// Rows were given out, and the rest is lost.
@@ -71,7 +78,8 @@
     /// Why it was not served, for people.
     pub fn why(&self) -> &str {
         match self {
-            Final::Refused { why, .. } | Final::MayHaveRun(why) | Final::Cut(why) => why,
+            Final::Refused { why, .. } | Final::EndedByRule { why, .. } => why,
+            Final::MayHaveRun(why) | Final::Cut(why) => why,
             Final::Engine(failure) => &failure.message,
             Final::Served | Final::Canceled | Final::Abandoned => "",
         }
@@ -82,6 +90,7 @@
         match self {
             Final::Served => "served",
             Final::Refused { .. } => "refused",
+            Final::EndedByRule { .. } => "ended by rule",
             Final::MayHaveRun(_) => "failed",
             Final::Cut(_) => "cut",
             Final::Engine(_) => "wrong",
--- /dev/null
+++ b/crates/router/src/core/runaways.rs
@@ -0,0 +1,235 @@
+//! Owns the way between the core and the watch for runaways: what it is told, and what its decisions become. The
+//! watch decides; what it holds goes to the routing decisions as events, and every send stays theirs.
+
+use std::collections::BTreeMap;
+
+use hoptiller::{Effect, Ending, EngineId, Entry, Event, Micros, Readiness, Scope};
+use hoptiller_runaway::{
+    AttemptId, Decision, End, EndingVerdict, KindId, Listed, News, Proof, Start, Watch, answer_after_end,
+};
+
+use super::page::{Final, Page};
+use super::statement::Stage;
+use super::{Command, Core, Ended, StatementId};
+
+/// Zones or kinds that a class may go to; `None`: all.
+type Only = Option<Vec<usize>>;
+
+/// The engine list, and which classes may run where.
+pub(super) struct Fleet {
+    entries: BTreeMap<EngineId, Entry>,
+    /// By class: zones and kinds that it may go to.
+    placement: Vec<(Only, Only)>,
+    effects: Vec<Effect>,
+    /// Ending an attempt stops its work.
+    cancels: bool,
+    hold_off: Option<Micros>,
+}
+
+impl Fleet {
+    pub(super) fn new(cfg: &hoptiller::Settings) -> Fleet {
+        Fleet {
+            entries: BTreeMap::new(),
+            placement: cfg.classes.iter().map(|c| (c.zones.clone(), c.kinds.clone())).collect(),
+            effects: cfg.classes.iter().map(|c| c.effect).collect(),
+            cancels: cfg.limits.cancel,
+            hold_off: cfg.limits.retry_after.then_some(cfg.limits.max_retry_after),
+        }
+    }
+
+    /// Takes in news of the list; engines whose process is another one now.
+    fn take(&mut self, scope: Scope, entries: &[Entry]) -> Vec<EngineId> {
+        if matches!(scope, Scope::All | Scope::Remembered) {
+            self.entries.retain(|id, _| entries.iter().any(|e| e.engine == *id));
+        }
+        let mut restarted = Vec::new();
+        for entry in entries {
+            let old = self.entries.insert(entry.engine, entry.clone());
+            restarted.extend(old.filter(|o| entry.ready_at > o.ready_at).map(|o| o.engine));
+        }
+        restarted
+    }
+
+    fn listed(&self) -> Vec<Listed> {
+        let within = |only: &Only, is: Option<usize>| {
+            only.as_ref().is_none_or(|set| is.is_some_and(|i| set.contains(&i)))
+        };
+        let listed = |e: &Entry| Listed {
+            engine: e.engine,
+            up: e.readiness == Readiness::Up,
+            classes: self.placement.iter().map(|(z, k)| within(z, e.zone) && within(k, e.kind)).collect(),
+        };
+        self.entries.values().filter(|e| e.readiness != Readiness::Removed).map(listed).collect()
+    }
+}
+
+impl Core {
+    /// The watch for runaways.
+    pub fn watch(&self) -> &Watch {
+        &self.watch
+    }
+
+    /// Takes in what an earlier life had learnt.
+    pub fn restore_watch(
+        &mut self,
+        now: Micros,
+        bytes: &[u8],
+    ) -> Result<hoptiller_runaway::snapshot::Restored, hoptiller_runaway::SnapshotError> {
+        self.watch.restore(now, bytes)
+    }
+
+    /// An operator frees a kind. False where it is not held.
+    pub fn release_kind(&mut self, kind: KindId) -> bool {
+        let held = self.watch.release(kind);
+        self.decided();
+        held
+    }
+
+    /// An engine tells of an attempt that runs.
+    pub fn told(&mut self, now: Micros, id: StatementId, hop: u32, news: News) {
+        self.watch.told(now, AttemptId { statement: id, hop }, news);
+    }
+
+    /// An attempt was ended at its engine on demand, ours or an administrator's there: this is the statement's end.
+    pub fn killed(&mut self, now: Micros, id: StatementId, hop: u32, proof: Proof, why: String) {
+        self.watch_ended(now, id, hop, End::Failed, None);
+        let Some(s) = self.table.get_mut(id) else { return };
+        match s.stage {
+            // Danger: rows have gone out; what is left of the result is lost.
+            Stage::Flowing { hop: from, .. } if from == hop => {
+                return self.settle(now, id, Final::Cut(why));
+            }
+            Stage::Flowing { .. } | Stage::Over(_) => return self.ended(now, id, hop, cancelled(why)),
+            // Its end was told before: this is no news.
+            _ if !s.is_out(hop) => return,
+            _ => {}
+        }
+        let ended = cancelled(why.clone());
+        let event = s.outcome(hop, now, &ended, true);
+        self.events.extend(event);
+        let (since, effect) = (s.first_sent().unwrap_or(now), self.fleet.effects[s.class]);
+        let hold_off = self.fleet.hold_off;
+        let how = match answer_after_end(effect, proof, since, now) {
+            EndingVerdict::Harmless => Final::EndedByRule { hold_off, why },
+            EndingVerdict::MayHaveRun => Final::MayHaveRun(format!(
+                "it was ended at its engine, which does not say what stands of it ({why})"
+            )),
+            EndingVerdict::HasRun => {
+                Final::MayHaveRun(format!("it was ended at its engine, and its effects stand ({why})"))
+            }
+        };
+        self.settle(now, id, how);
+        self.table.drop_if_over(id);
+    }
+
+    /// A sent attempt, as the watch sees it.
+    pub(super) fn watch_sent(&mut self, now: Micros, id: StatementId, hop: u32, engine: EngineId) {
+        let Some(s) = self.table.get(id) else { return };
+        let w = &s.watched;
+        let start = Start {
+            attempt: AttemptId { statement: id, hop },
+            engine,
+            class: s.class,
+            name: self.names.of(id),
+            kind: w.kind,
+            held_as: w.held_as,
+            label: w.label.clone(),
+            announced: w.announced,
+            group: w.group,
+        };
+        self.watch.started(now, start);
+    }
+
+    /// A page has come: the engine has a result, or all of it.
+    pub(super) fn watch_page(&mut self, now: Micros, id: StatementId, hop: u32, page: &Page) {
+        let attempt = AttemptId { statement: id, hop };
+        match page.last {
+            true => self.watch.ended(now, attempt, End::Good, page.work),
+            false => self.watch.flowing(now, attempt),
+        }
+    }
+
+    pub(super) fn watch_ended(
+        &mut self,
+        now: Micros,
+        id: StatementId,
+        hop: u32,
+        how: End,
+        work: Option<Micros>,
+    ) {
+        self.watch.ended(now, AttemptId { statement: id, hop }, how, work);
+    }
+
+    /// What an ending tells of the engine's side.
+    pub(super) fn watch_outcome(&mut self, now: Micros, id: StatementId, hop: u32, ending: Ending) {
+        let how = match ending {
+            Ending::Full | Ending::NoConnection | Ending::Moot => End::NeverRan,
+            Ending::Good | Ending::Bad => End::Failed,
+            Ending::Cancelled if self.fleet.cancels => End::Failed,
+            Ending::Late | Ending::Reset | Ending::Cancelled => End::GoesOn,
+        };
+        self.watch_ended(now, id, hop, how, None);
+    }
+
+    pub(super) fn watch_list(&mut self, now: Micros, scope: Scope, entries: &[Entry]) {
+        if scope == Scope::Refused {
+            return;
+        }
+        for engine in self.fleet.take(scope, entries) {
+            self.watch.restarted(now, engine);
+        }
+        self.watch.listed(self.fleet.listed());
+        self.decided();
+    }
+
+    /// Looks for runaways, if it is time.
+    pub(super) fn look(&mut self, now: Micros) {
+        self.watch.look(now);
+        self.decided();
+    }
+
+    /// Passes the watch's decisions on.
+    fn decided(&mut self) {
+        for decision in self.watch.take() {
+            let command = match decision {
+                Decision::Hold(hold) => {
+                    self.events.push(Event::Hold(hold));
+                    continue;
+                }
+                Decision::Found(finding) => Command::Found(finding),
+                Decision::Pause(a) => Command::Pause { id: a.statement, hop: a.hop, paused: true },
+                Decision::Resume(a) => Command::Pause { id: a.statement, hop: a.hop, paused: false },
+                Decision::End(a) => Command::Kill { id: a.statement, hop: a.hop },
+            };
+            self.commands.push_back(command);
+        }
+    }
+}
+
+fn cancelled(why: String) -> Ended {
+    Ended { ending: Ending::Cancelled, why, report: None }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(engine: u32, kind: usize, ready_at: Micros) -> Entry {
+        Entry { engine: EngineId(engine), kind: Some(kind), ready_at, ..Entry::default() }
+    }
+
+    #[test]
+    fn lists_are_followed_and_processes_told_apart() {
+        let placement = vec![(None, Some(vec![1])), (None, None)];
+        let effects = vec![Effect::Pure, Effect::Unsafe];
+        let mut fleet =
+            Fleet { entries: BTreeMap::new(), placement, effects, cancels: false, hold_off: None };
+        assert!(fleet.take(Scope::All, &[entry(1, 0, 5), entry(2, 1, 5)]).is_empty());
+        let fits: Vec<Vec<bool>> = fleet.listed().into_iter().map(|l| l.classes).collect();
+        assert_eq!(fits, [[false, true], [true, true]]);
+        assert_eq!(fleet.take(Scope::Changes, &[entry(1, 0, 9)]), [EngineId(1)]);
+        let draining = Entry { readiness: Readiness::Draining, ..entry(2, 1, 5) };
+        fleet.take(Scope::All, &[draining]);
+        assert_eq!(fleet.listed().iter().map(|l| (l.engine.0, l.up)).collect::<Vec<_>>(), [(2, false)]);
+    }
+}
--- a/crates/router/src/core/statement.rs
+++ b/crates/router/src/core/statement.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use hoptiller::{Ending, EngineId, Event, Micros, Outcome, RequestId};
+use hoptiller_runaway::{Announced, KindId};
 
 use super::course::{Course, CourseAttempt};
 use super::page::{Answer, Content, Final, Page};
@@ -54,9 +55,20 @@
     why: String,
 }
 
+/// What the watch for runaways asks of a statement.
+#[derive(Clone, Debug)]
+pub(super) struct Watched {
+    pub kind: KindId,
+    pub held_as: KindId,
+    pub label: Rc<str>,
+    pub announced: Announced,
+    pub group: Option<u64>,
+}
+
 #[derive(Debug)]
 pub(super) struct Statement {
     id: StatementId,
+    pub(super) watched: Watched,
     pub(super) class: usize,
     pub(super) came: Micros,
     pub(super) valid_until: Micros,
@@ -77,7 +89,13 @@
 }
 
 impl Statement {
-    pub(super) fn new(id: StatementId, s: &Submission, now: Micros, valid_until: Micros) -> Statement {
+    pub(super) fn new(
+        id: StatementId,
+        s: &Submission,
+        watched: Watched,
+        now: Micros,
+        valid_until: Micros,
+    ) -> Statement {
         let content = Content::News;
         let first = Answer {
             page: 0,
@@ -90,6 +108,7 @@
         };
         Statement {
             id,
+            watched,
             class: s.class,
             came: now,
             valid_until,
@@ -161,6 +180,11 @@
         Attempt { id: self.id, hop, engine, class: self.class, priority, grant, until, work }
     }
 
+    /// When its first attempt was sent.
+    pub(super) fn first_sent(&self) -> Option<Micros> {
+        self.attempts.first().map(|t| t.sent)
+    }
+
     pub(super) fn engine_of(&self, hop: u32) -> Option<EngineId> {
         self.attempts.get(hop as usize).map(|t| t.engine)
     }
@@ -196,8 +220,9 @@
         }))
     }
 
-    /// The event that an attempt ended without a result; none if its end was told before.
-    pub(super) fn outcome(&mut self, hop: u32, now: Micros, e: &Ended) -> Option<Event> {
+    /// The event that an attempt ended without a result; none if its end was told before. A terminal one is the
+    /// statement's last: there will be no other attempt.
+    pub(super) fn outcome(&mut self, hop: u32, now: Micros, e: &Ended, terminal: bool) -> Option<Event> {
         let t = self.attempts.get_mut(hop as usize)?;
         t.why = e.why.clone();
         if t.ended.is_some() {
@@ -210,7 +235,7 @@
             engine: t.engine,
             ending: e.ending,
             elapsed: now - t.sent,
-            terminal: false,
+            terminal,
             work: None,
             report: e.report,
         }))
--- a/crates/router/src/engines/attempt.rs
+++ b/crates/router/src/engines/attempt.rs
@@ -1,6 +1,7 @@
 //! Owns one attempt at an engine: the statement is posted once, and its answers are polled for. How it ended is
 //! told as what it proves: that it never ran, or that it may have.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,10 +12,12 @@
 use hoptiller::{Ending, Progress};
 use hoptiller_http::client::ClientError;
 use hoptiller_http::{Method, Request, Response};
-use hoptiller_statement::{ErrorType, QueryResults, STATEMENT, extra};
+use hoptiller_runaway::{Holder, Proof, Stands};
+use hoptiller_statement::results::Stats;
+use hoptiller_statement::{ErrorName, ErrorType, QueryResults, STATEMENT, extra};
 use serde_json::value::RawValue;
 
-use super::{Control, Engines, Report, load_of_headers};
+use super::{Control, Engines, Report, Told, load_of_headers};
 use crate::core::{Attempt, Ended, Failure, Page};
 
 /// Polls in a row that may fail before the engine counts as gone. A poll asks for the same answer again: that
@@ -47,19 +50,25 @@
     report: &'a dyn Report,
     /// Where to ask next, and the engine's own id of the statement.
     next: Option<String>,
-    query: Option<String>,
+    query: Rc<RefCell<Option<String>>>,
     columns: Option<Rc<RawValue>>,
     /// A page has been passed on: no time limit any more, the client's reading sets the pace.
     flowing: bool,
 }
 
-pub(super) async fn run(engines: &Engines, a: &Attempt, control: Receiver<Control>, report: &dyn Report) {
+pub(super) async fn run(
+    engines: &Engines,
+    a: &Attempt,
+    control: Receiver<Control>,
+    query: Rc<RefCell<Option<String>>>,
+    report: &dyn Report,
+) {
     let addr = engines.places.borrow().get(&a.engine).map(|p| p.1);
     let Some(addr) = addr else {
         let why = "the engine is not listed any more".to_owned();
         return report.ended(a.id, a.hop, Ended { ending: Ending::Moot, why, report: None });
     };
-    let (next, query, columns, flowing) = (None, None, None, false);
+    let (next, columns, flowing) = (None, None, false);
     let mut run = Run { engines, a, addr, control, report, next, query, columns, flowing };
     match run.all().await {
         Ok(()) => {}
@@ -97,7 +106,7 @@
             request.headers.push(name, value);
         }
         request.headers.push(extra::ROUTER, &manner.router);
-        request.headers.push(extra::STATEMENT_ID, &format!("{}/{}", manner.router, a.id));
+        request.headers.push(extra::STATEMENT_ID, &manner.names.of(a.id));
         request.headers.push(extra::CLASS, manner.classes.get(a.class).map_or("", String::as_str));
         let mut terms = vec![("hop", f64::from(a.hop))];
         terms.extend(a.priority.map(|p| ("priority", f64::from(p))));
@@ -207,12 +216,18 @@
             Err(e) => return stop(Ending::Bad, format!("the engine's answer is no QueryResults: {e}")),
         };
         // Danger: an engine that was restarted meanwhile can have another statement under the same URI.
-        if *self.query.get_or_insert_with(|| results.id.clone()) != results.id {
+        if *self.query.borrow_mut().get_or_insert_with(|| results.id.clone()) != results.id {
             return stop(Ending::Reset, "the engine answered for another statement");
         }
         let report = load_of_headers(answer);
         if let Some(error) = results.error {
             let why = format!("{}: {}", error.error_name, error.message);
+            if error.error_name == ErrorName::KILLED {
+                // Danger: what may have had its effect is not called harmless before the engine says so.
+                let proof = self.proof().await;
+                self.report.killed(self.a.id, self.a.hop, proof, why);
+                return Ok(true);
+            }
             if error.error_type == ErrorType::UserError {
                 let failure =
                     Failure { message: error.message, code: error.error_code, name: error.error_name };
@@ -226,11 +241,7 @@
             Some(Some(path)) => Some(path),
             Some(None) => return stop(Ending::Bad, "the engine's nextUri points elsewhere"),
         };
-        if let Some(note) = answer.headers.get(extra::NOTE) {
-            for (name, value) in extra::numbers(note) {
-                self.tell(name, value);
-            }
-        }
+        self.tell_news(answer, &results.stats);
         let rows = results.has_rows();
         if let Some(columns) = results.columns {
             self.columns = Some(columns.into());
@@ -261,14 +272,75 @@
         }
     }
 
-    fn tell(&self, name: &str, value: f64) {
-        let progress = match name {
-            "done" if (0.0..=1.0).contains(&value) => Progress::Done(value),
-            "spills" if value > 0.0 => Progress::Spills(value),
-            "waits" => Progress::Waits,
-            _ => return,
-        };
-        self.report.note(self.a.id, self.a.hop, progress);
+    /// Tells what an answer says of the attempt: its figures, as the specification has them, and the notes.
+    fn tell_news(&self, answer: &Response, stats: &Stats) {
+        let known = |v: u64| (v > 0).then_some(v);
+        let mut told = Told::default();
+        let news = &mut told.news;
+        news.work = known(stats.cpu_time_millis).map(|ms| ms.saturating_mul(1000));
+        news.done = stats.progress_percentage.map(|p| p / 100.0);
+        news.rows = known(stats.processed_rows);
+        news.memory_mb = known(stats.peak_memory_bytes).map(|b| b as f64 / 1e6);
+        news.spills = stats.spilled_bytes > 0;
+        for (name, value) in answer.headers.get(extra::NOTE).into_iter().flat_map(extra::numbers) {
+            let progress = match name {
+                "done" if (0.0..=1.0).contains(&value) => {
+                    news.done = Some(value);
+                    Progress::Done(value)
+                }
+                "spills" if value > 0.0 => {
+                    news.spills = true;
+                    Progress::Spills(value)
+                }
+                "lacks" => {
+                    news.stands = Some(Stands::Memory);
+                    Progress::Waits
+                }
+                "waits" => {
+                    let holder = answer.headers.get(extra::BEHIND).and_then(extra::holder);
+                    told.holder_class = holder.as_ref().and_then(|h| h.class.map(str::to_owned));
+                    let holder = holder.map(|h| Holder {
+                        name: h.name.to_owned(),
+                        class: None,
+                        age: h.age_ms.map(|ms| ms * 1000),
+                    });
+                    news.stands = Some(Stands::Behind(holder));
+                    Progress::Waits
+                }
+                _ => continue,
+            };
+            self.report.note(self.a.id, self.a.hop, progress);
+        }
+        if !told.news.is_empty() {
+            self.report.told(self.a.id, self.a.hop, told);
+        }
+    }
+
+    /// What the engine says of the effects of what it has ended; asked for again where it can't be reached.
+    async fn proof(&self) -> Proof {
+        let Some(query) = self.query.borrow().clone() else { return Proof::Unknown };
+        let manner = &self.engines.manner;
+        let request =
+            Request::new(Method::Get, format!("/v1/query/{query}")).with(extra::ROUTER, &manner.router);
+        for _ in 0..POLLS {
+            let pool = &self.engines.pool;
+            let asked =
+                pool.exchange(self.a.engine, self.addr, &request, manner.connect_within, FAREWELL).await;
+            match asked {
+                Ok(answer) if answer.status.0 == 200 => {
+                    return match answer.headers.get(extra::EFFECTS) {
+                        Some("rolled-back") => Proof::RolledBack,
+                        Some("committed") => Proof::Committed,
+                        _ => Proof::Unknown,
+                    };
+                }
+                Ok(answer) if answer.status.0 < 500 => return Proof::Unknown,
+                _ => {
+                    Timer::after(POLL_PAUSE).await;
+                }
+            }
+        }
+        Proof::Unknown
     }
 
     /// The path of a URI at this engine; none for one elsewhere: an engine must not send the router about.
--- a/crates/router/src/engines/mod.rs
+++ b/crates/router/src/engines/mod.rs
@@ -11,12 +11,14 @@
 use std::time::Duration;
 
 use async_channel::Sender;
+use async_io::Timer;
 use hoptiller::{EngineId, LoadReport, Micros, Progress};
 use hoptiller_http::{Limits, Method, Request, Response};
+use hoptiller_runaway::{News, Proof};
 use hoptiller_statement::discovery::NodeStatus;
 use hoptiller_statement::extra;
 
-use crate::core::{Attempt, Ended, Failure, Page, StatementId};
+use crate::core::{Attempt, Ended, Failure, Names, Page, StatementId};
 use pool::Pool;
 
 /// Where what was seen goes.
@@ -29,12 +31,25 @@
     fn wrong(&self, id: StatementId, hop: u32, failure: Failure);
     /// An attempt has ended without its result.
     fn ended(&self, id: StatementId, hop: u32, ended: Ended);
+    /// An attempt was ended at its engine on demand.
+    fn killed(&self, id: StatementId, hop: u32, proof: Proof, why: String);
+    /// What an engine tells of an attempt that runs.
+    fn told(&self, id: StatementId, hop: u32, told: Told);
     /// Word on an attempt that runs.
     fn note(&self, id: StatementId, hop: u32, progress: Progress);
     /// A probe has ended.
     fn probed(&self, engine: EngineId, report: Option<LoadReport>);
 }
 
+/// What an engine tells of an attempt; classes by name.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    /// What it tells; who holds it up has no class here.
+    pub news: News,
+    /// The class of who holds it up.
+    pub holder_class: Option<String>,
+}
+
 /// What an attempt under way is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Control {
@@ -46,11 +61,26 @@
     Release,
 }
 
+/// What an engine is asked to do with an attempt.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// End it, for this reason.
+    End(String),
+    /// Let it stand still, or go on.
+    Pause(bool),
+}
+
+/// Times that an engine is asked, and the pause between.
+const ORDER_TRIES: u32 = 5;
+const ORDER_PAUSE: Duration = Duration::from_millis(200);
+
 /// How engines are spoken to.
 #[derive(Clone, Debug)]
 pub struct Manner {
     /// This router's name.
     pub router: String,
+    /// What statements are called towards engines.
+    pub names: Names,
     /// Classes' names, by number.
     pub classes: Vec<String>,
     /// Time to connect.
@@ -66,7 +96,15 @@
     manner: Manner,
     pool: Pool,
     places: RefCell<HashMap<EngineId, (String, SocketAddr)>>,
-    under_way: RefCell<HashMap<(StatementId, u32), Sender<Control>>>,
+    under_way: RefCell<HashMap<(StatementId, u32), UnderWay>>,
+}
+
+/// An attempt under way: where it is reached here, and at its engine.
+struct UnderWay {
+    control: Sender<Control>,
+    engine: EngineId,
+    /// The engine's own id of the statement, once known.
+    query: Rc<RefCell<Option<String>>>,
 }
 
 impl Engines {
@@ -96,17 +134,50 @@
 
     /// Tells an attempt something; one that is over has no ears.
     pub fn control(&self, id: StatementId, hop: u32, control: Control) {
-        if let Some(sender) = self.under_way.borrow().get(&(id, hop)) {
-            let _ = sender.try_send(control);
+        if let Some(under_way) = self.under_way.borrow().get(&(id, hop)) {
+            let _ = under_way.control.try_send(control);
+        }
+    }
+
+    /// Asks an engine to end an attempt, or to let it stand still or go on. How the attempt ends still comes by its
+    /// own polls, so that an end that crosses the result does no harm. What the engine says is returned.
+    pub async fn order(self: Rc<Self>, id: StatementId, hop: u32, order: Order) -> Result<(), String> {
+        let (target, body) = match &order {
+            Order::End(why) => ("killed", why.clone()),
+            Order::Pause(paused) => ("paused", paused.to_string()),
+        };
+        for _ in 0..ORDER_TRIES {
+            let found = self.under_way.borrow().get(&(id, hop)).map(|u| (u.engine, u.query.clone()));
+            let Some((engine, query)) = found else { return Err("it is over".into()) };
+            let place = self.places.borrow().get(&engine).map(|p| p.1);
+            let Some(addr) = place else { return Err("its engine is not listed any more".into()) };
+            let query = query.borrow().clone();
+            if let Some(query) = query {
+                let mut request = Request::new(Method::Put, format!("/v1/query/{query}/{target}"))
+                    .with(extra::ROUTER, &self.manner.router);
+                request.body = body.clone().into_bytes();
+                let (connect, within) = (self.manner.connect_within, self.manner.poll_within);
+                match self.pool.exchange(engine, addr, &request, connect, within).await {
+                    Ok(answer) if answer.status.0 < 300 => return Ok(()),
+                    Ok(answer) if answer.status.0 < 500 => {
+                        return Err(format!("the engine answered with status {}", answer.status.0));
+                    }
+                    _ => {} // The order changes nothing when it is given twice.
+                }
+            }
+            Timer::after(ORDER_PAUSE).await;
         }
+        Err("the engine could not be reached".into())
     }
 
     /// Carries out an attempt to its end.
     pub async fn attempt(self: Rc<Self>, a: Attempt, report: Rc<dyn Report>) {
         let (sender, control) = async_channel::bounded(8);
         let key = (a.id, a.hop);
-        self.under_way.borrow_mut().insert(key, sender);
-        attempt::run(&self, &a, control, report.as_ref()).await;
+        let query = Rc::default();
+        let under_way = UnderWay { control: sender, engine: a.engine, query: Rc::clone(&query) };
+        self.under_way.borrow_mut().insert(key, under_way);
+        attempt::run(&self, &a, control, query, report.as_ref()).await;
         self.under_way.borrow_mut().remove(&key);
     }
 
--- /dev/null
+++ b/crates/router/src/fronts/admin.rs
@@ -0,0 +1,138 @@
+//! Owns the administration API: JSON over HTTP on a listener of its own, so that what it tells of all tenants'
+//! statements stands apart from what their clients reach.
+
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use async_io::Async;
+use hoptiller::{EngineId, Micros};
+use hoptiller_http::server::{Config, Handler, Reply};
+use hoptiller_http::{Limits, Method, Request, Response};
+use hoptiller_runaway::{Finding, KindId, Subject};
+use serde_json::{Value, json};
+
+use crate::engines::Report;
+use crate::service::Service;
+
+/// Connections of administrators, and bytes of a request's content.
+const CONNECTIONS: usize = 64;
+const BODY: u64 = 64 << 10;
+
+/// What runs away, and what is held.
+pub const RUNAWAYS: &str = "/v1/admin/runaways";
+/// A held kind: `DELETE` frees it.
+pub const HOLDS: &str = "/v1/admin/holds/";
+
+/// Answers administrators for ever.
+pub async fn serve(service: Rc<Service>, listener: Async<TcpListener>) -> io::Result<()> {
+    let limits = Limits { body: BODY, ..Limits::default() };
+    let config = Config { limits, connections: CONNECTIONS, incoming: 1 << 20, ..Config::default() };
+    let ex = service.spawner().clone();
+    let handler: Handler = Rc::new(move |request| {
+        let service = service.clone();
+        Box::pin(async move { Reply::Send(answer(&service, &request)) })
+    });
+    hoptiller_http::server::serve(listener, config, handler, ex).await
+}
+
+fn answer(service: &Service, request: &Request) -> Response {
+    let path = request.path();
+    if let Some(kind) = path.strip_prefix(HOLDS) {
+        let Ok(kind) = kind.parse::<KindId>() else {
+            return problem(404, "a kind has 16 hexadecimal digits, as GET /v1/admin/runaways shows them");
+        };
+        return match request.method {
+            Method::Delete if service.with_core(|core, _| core.release_kind(kind)) => {
+                tracing::warn!(%kind, "an administrator has freed a kind");
+                Response::new(204)
+            }
+            Method::Delete => problem(404, "that kind is not held"),
+            _ => problem(405, "DELETE frees a held kind").with("Allow", "DELETE"),
+        };
+    }
+    match (path, &request.method) {
+        (RUNAWAYS, Method::Get) => Response::json(200, format!("{:#}", runaways(service))),
+        (RUNAWAYS, _) => problem(405, "GET shows what runs away").with("Allow", "GET"),
+        _ => problem(404, "nothing here; GET /v1/admin/runaways shows what runs away"),
+    }
+}
+
+fn problem(status: u16, what: &str) -> Response {
+    Response::json(status, json!({ "problem": what }).to_string())
+}
+
+/// About whom a verdict is, for people.
+pub fn subject(service: &Service, f: &Finding) -> String {
+    match &f.subject {
+        Subject::Statement(name) => format!("statement {name}"),
+        Subject::Kind(kind) => format!("kind {kind}"),
+        Subject::Engine(engine) => format!("engine {}", service.engine_name(*engine)),
+    }
+}
+
+fn runaways(service: &Service) -> Value {
+    let now = Report::now(service);
+    service.with_core(|core, _| {
+        let watch = core.watch();
+        let named = |f: &&Finding| f.class.is_none_or(|c| service.settings.runaways.acts[c].name);
+        let open: Vec<Value> = watch.open().filter(named).map(|f| finding(service, f, now)).collect();
+        let past: Vec<Value> = watch.past().filter(named).map(|f| finding(service, f, now)).collect();
+        let holds: Vec<Value> = watch
+            .holds()
+            .map(|(kind, h)| {
+                json!({
+                    "kind": kind.to_string(),
+                    "class": service.settings.classes[h.class].name,
+                    "text": h.label,
+                    "atOnce": h.at_once,
+                    "cleanRuns": h.clean,
+                    "cleanRunsForNextStep": h.wanted,
+                    "runawaysOut": h.out,
+                    "heldForMs": now.saturating_sub(h.since) / 1000,
+                })
+            })
+            .collect();
+        let engine_names = |engines: &[EngineId]| -> Vec<String> {
+            engines.iter().map(|e| service.engine_name(*e)).collect()
+        };
+        let away: Vec<Value> = watch
+            .kept_away()
+            .map(|(group, engines)| json!({ "tables": format!("{group:08x}"), "engines": engine_names(engines) }))
+            .collect();
+        let (kinds, attempts, others) = watch.sizes();
+        json!({
+            "router": service.settings.router.name,
+            "findings": open,
+            "past": past,
+            "holds": holds,
+            "keptAway": away,
+            "kindsKnown": kinds,
+            "attemptsWatched": attempts,
+            "statementsOfOthers": others,
+        })
+    })
+}
+
+fn finding(service: &Service, f: &Finding, now: Micros) -> Value {
+    let ago = |at: Micros| now.saturating_sub(at) / 1000;
+    json!({
+        "id": f.id,
+        "subject": subject(service, f),
+        "verdict": f.verdict,
+        "cause": f.cause,
+        "inWords": f.cause.word(),
+        "class": f.class.map(|c| service.settings.classes[c].name.clone()),
+        "kind": f.kind.map(|k| k.to_string()),
+        "text": f.label,
+        "engine": f.engine.map(|e| service.engine_name(e)),
+        "startedMsAgo": ago(f.started),
+        "sinceMsAgo": ago(f.since),
+        "verdictMsAgo": ago(f.at),
+        "evidence": f.evidence,
+        "seen": f.evidence.to_string(),
+        "blocks": f.blocks,
+        "blocked": f.blocked,
+        "note": f.note,
+    })
+}
--- a/crates/router/src/fronts/http.rs
+++ b/crates/router/src/fronts/http.rs
@@ -9,6 +9,7 @@
 use futures_lite::future;
 use hoptiller_http::server::{Config, Handler, Reply};
 use hoptiller_http::{Limits, Method, Request, Response};
+use hoptiller_runaway::Announced;
 use hoptiller_statement::{ClientHeaders, QueryId, STATEMENT, Token};
 
 use super::render;
@@ -127,6 +128,11 @@
         (None, Some(source)) => settings.class(source).unwrap_or(settings.default_class),
         (None, None) => settings.default_class,
     };
+    let kind = hoptiller_sql::kind_of(&text, hoptiller_sql::Dialect::STANDARD);
+    let announced = Announced {
+        size: headers.size.unwrap_or(kind.size),
+        estimate: headers.estimate.map(|e| e.as_micros() as u64),
+    };
     let passed = request
         .headers
         .iter()
@@ -136,6 +142,9 @@
         tenant: headers.tenant.and_then(|t| settings.tenants.iter().position(|(name, _)| *name == t)),
         key: headers.key,
         tables: headers.tables,
+        fingerprint: kind.fingerprint.0,
+        label: kind.label.into(),
+        announced,
         repeat: headers.repeat,
         patience: headers.patience.map(|p| p.as_micros() as u64),
         work: Rc::new(Work { text, fields: passed.map(|(n, v)| (n.to_owned(), v.to_owned())).collect() }),
--- a/crates/router/src/fronts/render.rs
+++ b/crates/router/src/fronts/render.rs
@@ -131,7 +131,10 @@
     for (name, value) in &page.fields {
         response.headers.push(name, value);
     }
-    if let Some(Final::Refused { hold_off: Some(after), .. }) = over {
+    if let Some(
+        Final::Refused { hold_off: Some(after), .. } | Final::EndedByRule { hold_off: Some(after), .. },
+    ) = over
+    {
         response.headers.push("Retry-After", &seconds(Duration::from_micros(*after)));
     }
     response
@@ -148,6 +151,11 @@
             let message = format!("refused: {why}. Trying again is harmless{after}");
             QueryError::of(ErrorName::Refused, message)
         }
+        Final::EndedByRule { why, .. } => {
+            let message =
+                format!("ended by rule: {why}. Nothing of it stands; the same again will end alike");
+            QueryError::of(ErrorName::EndedByRule, message)
+        }
         Final::MayHaveRun(why) => {
             let message = format!("failed: {why}. It may have run: look it up before it is sent again");
             QueryError::of(ErrorName::MayHaveRun, message)
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod discovery;
 pub mod engines;
 pub mod fronts;
+pub mod learnt;
 pub mod membership;
 pub mod restart;
 pub mod service;
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -12,13 +12,15 @@
 use futures_lite::future;
 use hoptiller::{EngineId, LoadReport, Micros, Progress, Scope};
 use hoptiller_http::{Spawner, Ticks};
+use hoptiller_runaway::{Finding, Proof, Stands, Verdict, Watch};
 use hoptiller_statement::Key;
 use tracing::Instrument;
 
-use crate::core::{Bounds, Command, Core, Ended, Failure, Page, StatementId, ending_word};
+use crate::core::{Bounds, Command, Core, Ended, Failure, Names, Page, StatementId, ending_word};
 use crate::discovery::{Discovery, Listener};
-use crate::engines::{Control, Engines, Manner, Report};
+use crate::engines::{Control, Engines, Manner, Order, Report, Told};
 use crate::fronts;
+use crate::learnt::Learnt;
 use crate::settings::Settings;
 
 /// The clock starts here, so that engines which started before the router have a time of their start too.
@@ -46,6 +48,7 @@
     /// The name of this life.
     pub life: String,
     core: RefCell<Core>,
+    learnt: Option<Learnt>,
     engines: Rc<Engines>,
     discovery: Rc<Discovery>,
     ex: Spawner,
@@ -59,6 +62,7 @@
     rounds: Cell<(u64, Duration)>,
     ending: Cell<bool>,
     listed: Cell<usize>,
+    admin: Cell<Option<SocketAddr>>,
 }
 
 impl Service {
@@ -78,9 +82,13 @@
             abandon_after: micros(l.abandon_after),
             held_bytes: l.held_bytes,
         };
-        let core = Core::new(settings.decisions(), settings.router.seed, bounds)?;
+        let names = Names { router: settings.router.name.clone(), life: life.clone() };
+        let watch = Watch::new(settings.watch());
+        let core = Core::new(settings.decisions(), settings.router.seed, bounds, watch, names.clone())?;
+        let learnt = settings.router.state.as_deref().map(Learnt::new);
         let engines = Engines::new(Manner {
             router: settings.router.name.clone(),
+            names,
             classes: settings.classes.iter().map(|c| c.name.clone()).collect(),
             connect_within: settings.engines.connect_within,
             poll_within: settings.engines.poll_within,
@@ -92,6 +100,7 @@
             key: Key::new(secret, &settings.router.name),
             life,
             core: RefCell::new(core),
+            learnt,
             engines: Rc::new(engines),
             discovery: Rc::new(Discovery::new(settings.clone())),
             settings,
@@ -103,6 +112,7 @@
             rounds: Cell::default(),
             ending: Cell::new(false),
             listed: Cell::new(0),
+            admin: Cell::new(None),
         }))
     }
 
@@ -110,6 +120,19 @@
     pub fn start(self: &Rc<Self>, extra: Extra) -> io::Result<SocketAddr> {
         let listener = hoptiller_http::server::bind(self.settings.router.listen)?;
         let addr = listener.get_ref().local_addr()?;
+        if let Some(at) = self.settings.router.admin {
+            let admin = hoptiller_http::server::bind(at)
+                .map_err(|e| io::Error::new(e.kind(), format!("router.admin, {at}: {e}")))?;
+            self.admin.set(Some(admin.get_ref().local_addr()?));
+            let serving = fronts::admin::serve(self.clone(), admin);
+            self.ex.spawn(async move {
+                let _ = serving.await;
+            });
+        }
+        if let Some(learnt) = &self.learnt {
+            learnt.take_up(self);
+            self.ex.spawn(self.clone().keep_saving());
+        }
         self.ex.spawn(self.clone().run_rounds());
         let listener_of_lists: Rc<dyn Listener> = self.clone();
         self.ex.spawn(self.discovery.clone().run(self.ex.clone(), listener_of_lists));
@@ -123,6 +146,32 @@
     /// Takes nothing new, finishes what it holds, and returns.
     pub async fn end(&self) -> Stopped {
         self.ending.set(true);
+        let stopped = self.finish().await;
+        self.save();
+        stopped
+    }
+
+    /// Where administrators reach it.
+    pub fn admin_addr(&self) -> Option<SocketAddr> {
+        self.admin.get()
+    }
+
+    /// Writes what was learnt of kinds, where there is a place for it.
+    fn save(&self) {
+        if let Some(learnt) = &self.learnt {
+            let bytes = self.core.borrow().watch().save();
+            learnt.write(&bytes);
+        }
+    }
+
+    async fn keep_saving(self: Rc<Self>) {
+        loop {
+            Timer::after(self.settings.runaways.save_every).await;
+            self.save();
+        }
+    }
+
+    async fn finish(&self) -> Stopped {
         self.core.borrow_mut().end();
         let until = Instant::now() + self.settings.limits.drain_within;
         loop {
@@ -228,6 +277,43 @@
         }
     }
 
+    /// Gives an engine an order, and logs what came of it.
+    fn order(&self, id: StatementId, hop: u32, order: Order) {
+        let (engines, statement) = (self.engines.clone(), self.name_of(id));
+        self.ex.spawn(async move {
+            let what = format!("{order:?}");
+            match engines.order(id, hop, order).await {
+                Ok(()) => tracing::warn!(%statement, hop, order = %what, "the engine was told"),
+                Err(why) => tracing::warn!(%statement, hop, order = %what, why, "the engine was not told"),
+            }
+        });
+    }
+
+    /// A verdict, for the log and the metrics.
+    fn found(&self, f: &Finding) {
+        let class = f.class.map_or("", |c| self.settings.classes[c].name.as_str());
+        let named = f.class.is_none_or(|c| self.settings.runaways.acts[c].name);
+        if !named {
+            return;
+        }
+        let (cause, subject) = (f.cause.word(), fronts::admin::subject(self, f));
+        let engine = f.engine.map(|e| self.engines.name(e)).unwrap_or_default();
+        let verdict = format!("{:?}", f.verdict).to_lowercase();
+        let seen = f.evidence.to_string();
+        if f.verdict != Verdict::Suspect {
+            metrics::counter!("hoptiller_runaway_verdicts_total",
+                "class" => class.to_owned(), "cause" => cause, "verdict" => verdict.clone())
+            .increment(1);
+        }
+        let (blocked, note) = (f.blocked, f.note);
+        match f.verdict {
+            Verdict::Runaway | Verdict::Notice => {
+                tracing::warn!(%subject, verdict, cause, class, engine, seen, blocked, note, "runaways");
+            }
+            _ => tracing::info!(%subject, verdict, cause, class, engine, seen, blocked, note, "runaways"),
+        }
+    }
+
     /// The end of a statement's id, by which it is found in logs.
     fn name_of(&self, id: StatementId) -> String {
         format!("{id:05}_{}", self.life)
@@ -257,6 +343,12 @@
             Command::Fetch { id, hop } => self.engines.control(id, hop, Control::Fetch),
             Command::Withdraw { id, hop } => self.engines.control(id, hop, Control::Withdraw),
             Command::Release { id, hop } => self.engines.control(id, hop, Control::Release),
+            Command::Kill { id, hop } => {
+                let why = "it runs away, and a rule of this installation ends it".to_owned();
+                self.order(id, hop, Order::End(why));
+            }
+            Command::Pause { id, hop, paused } => self.order(id, hop, Order::Pause(paused)),
+            Command::Found(finding) => self.found(&finding),
             Command::Probe(engine) => self.ex.spawn(self.engines.clone().probe(engine, me)),
             Command::AskDiscovery => {
                 self.discovery.now.notify(1);
@@ -302,6 +394,18 @@
         self.with_core(|core, now| core.ended(now, id, hop, ended));
     }
 
+    fn killed(&self, id: StatementId, hop: u32, proof: Proof, why: String) {
+        tracing::warn!(?proof, why, "ended at its engine");
+        self.with_core(|core, now| core.killed(now, id, hop, proof, why));
+    }
+
+    fn told(&self, id: StatementId, hop: u32, mut told: Told) {
+        if let Some(Stands::Behind(Some(holder))) = &mut told.news.stands {
+            holder.class = told.holder_class.as_deref().and_then(|name| self.settings.class(name));
+        }
+        self.with_core(|core, now| core.told(now, id, hop, told.news));
+    }
+
     fn note(&self, id: StatementId, hop: u32, progress: Progress) {
         self.with_core(|core, _| core.note(id, hop, progress));
     }
@@ -321,7 +425,7 @@
             self.listed.set(entries.len());
             tracing::info!(engines = entries.len(), "the engine list has changed");
         }
-        self.with_core(|core, _| core.list(scope, entries));
+        self.with_core(|core, now| core.list(now, scope, entries));
     }
 
     fn place(&self, engine: EngineId, name: &str, addr: SocketAddr) {
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -54,6 +54,31 @@
     if s.engines.tells_in_flight && !s.engines.reports {
         note("engines.tells_in_flight".into(), "needs engines.reports".into());
     }
+    for (class, acts) in s.classes.iter().zip(&s.runaways.acts) {
+        let path = || format!("runaways: class {:?}", class.name);
+        if acts.end && !s.engines.ends {
+            note(path(), "'end' only works where engines.ends is true".into());
+        }
+        if acts.pause && !s.engines.pauses {
+            note(path(), "'pause' only works where engines.pauses is true".into());
+        }
+        if acts.lower && !(acts.hold && s.engines.priorities) {
+            note(path(), "'lower' only works with 'hold' and where engines.priorities is true".into());
+        }
+        if !acts.name && (acts.hold || acts.end || acts.pause) {
+            note(path(), "what is held, paused or ended must be named too: add 'name'".into());
+        }
+    }
+    let w = &s.runaways;
+    if w.kinds < 100 || w.kinds > 100_000 {
+        note("runaways.kinds".into(), "must be 100 to 100000".into());
+    }
+    if w.pause_for.is_zero() || w.save_every < Duration::from_secs(1) {
+        note("runaways".into(), "pause_for must be over 0, save_every 1s or more".into());
+    }
+    if s.router.admin.is_some_and(|admin| admin == s.router.listen && admin.port() != 0) {
+        note("router.admin".into(), "is router.listen: administrators need an address of their own".into());
+    }
     let r = &s.rules;
     if r.start_capacity > 1.0 || r.start_capacity == 0.0 {
         note("rules.start_capacity".into(), "is a part of the capacity, over 0 and up to 1".into());
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -49,10 +49,27 @@
     pub rules: RuleSettings,
     /// Where the list of engines comes from.
     pub discovery: DiscoverySettings,
+    /// What is done about statements that run away.
+    pub runaways: RunawaySettings,
     /// Bounds of everything.
     pub limits: LimitSettings,
 }
 
+/// What is done about statements that run away.
+#[derive(Clone, Debug, Serialize)]
+pub struct RunawaySettings {
+    /// By class, in the order of the classes.
+    pub acts: Vec<hoptiller_runaway::Acts>,
+    /// Time between naming a statement and ending it.
+    pub end_after: Duration,
+    /// How long a paused statement stands still.
+    pub pause_for: Duration,
+    /// Kinds that are remembered at most.
+    pub kinds: usize,
+    /// Time between two writings of what was learnt; only where `router.state` is set.
+    pub save_every: Duration,
+}
+
 /// This router among its like.
 #[derive(Clone, Debug, Serialize)]
 pub struct RouterSettings {
@@ -64,6 +81,8 @@
     pub of: u32,
     /// Where it listens.
     pub listen: SocketAddr,
+    /// Where administrators reach it; `None`: nowhere.
+    pub admin: Option<SocketAddr>,
     /// Where it keeps the secret of its tokens; `None`: a new one at each start.
     pub state: Option<PathBuf>,
     /// Seed of its draws.
@@ -139,6 +158,10 @@
     pub cancel: bool,
     /// They heed priorities.
     pub priorities: bool,
+    /// They end a statement that they are told to end (`PUT /v1/query/ID/killed`).
+    pub ends: bool,
+    /// They let a statement stand still (`PUT /v1/query/ID/paused`).
+    pub pauses: bool,
     /// Time between notes of progress; zero: none come.
     pub notes_every: Duration,
     /// Time to connect.
@@ -282,6 +305,26 @@
         }
     }
 
+    /// The settings of the watch for runaways.
+    pub fn watch(&self) -> hoptiller_runaway::Settings {
+        let micros = |d: Duration| d.as_micros() as u64;
+        let class = |(c, acts): (&ClassSettings, &hoptiller_runaway::Acts)| hoptiller_runaway::Class {
+            name: c.name.clone(),
+            aim: micros(c.aim),
+            patience: micros(c.patience),
+            threads: c.threads,
+            effect: c.decisions().effect,
+            holds: c.holds,
+            acts: *acts,
+        };
+        hoptiller_runaway::Settings {
+            classes: self.classes.iter().zip(&self.runaways.acts).map(class).collect(),
+            kinds: self.runaways.kinds,
+            pause_for: micros(self.runaways.pause_for),
+            end_after: micros(self.runaways.end_after),
+        }
+    }
+
     /// The rules in the form that `hoptiller audit` reads (`rules.json`).
     pub fn audit_rules(&self) -> serde_json::Value {
         let micros = |d: Duration| d.as_micros() as u64;
--- a/crates/router/src/settings/read.rs
+++ b/crates/router/src/settings/read.rs
@@ -29,6 +29,7 @@
     }
 }
 
+const ACTS: &str = "'name', 'hold', 'lower', 'pause', 'end'";
 const DURATION: &str = "a duration with its unit is wanted, such as '250ms', '1.5s' or '2m'";
 
 impl<'a> Reader<'a> {
@@ -214,6 +215,7 @@
         let engines = self.child(&mut top, "engines").and_then(|o| self.engines(o));
         let rules = self.child(&mut top, "rules").and_then(|o| self.rules(o));
         let discovery = self.child(&mut top, "discovery").and_then(|o| self.discovery(o));
+        let runaways = self.runaways(&mut top, &classes);
         let path = top.at("limits");
         let limits = self.optional(&mut top, "limits").unwrap_or(&Value::Null);
         let limits = self.object(limits, &path);
@@ -234,6 +236,7 @@
             engines: engines?,
             rules: rules?,
             discovery: discovery?,
+            runaways: runaways?,
             limits: limits?,
         })
     }
@@ -252,6 +255,10 @@
         let index = self.count(&mut o, "index", Some(0));
         let of = self.count(&mut o, "of", Some(1));
         let listen = self.address(&mut o, "listen");
+        let admin = match self.optional(&mut o, "admin") {
+            None => Some(None),
+            Some(_) => self.address(&mut o, "admin").map(Some),
+        };
         let state = match self.optional(&mut o, "state") {
             None => None,
             Some(_) => Some(PathBuf::from(self.text(&mut o, "state")?)),
@@ -259,7 +266,7 @@
         let seed = self.count(&mut o, "seed", Some(1));
         self.done(o);
         let (index, of) = (u32::try_from(index?).ok()?, u32::try_from(of?).ok()?);
-        Some(RouterSettings { name: name?, index, of, listen: listen?, state, seed: seed? })
+        Some(RouterSettings { name: name?, index, of, listen: listen?, admin: admin?, state, seed: seed? })
     }
 
     fn classes(
@@ -346,6 +353,8 @@
         let bills = self.flag(&mut o, "bills", false);
         let cancel = self.flag(&mut o, "cancel", false);
         let priorities = self.flag(&mut o, "priorities", false);
+        let ends = self.flag(&mut o, "ends", false);
+        let pauses = self.flag(&mut o, "pauses", false);
         let notes_every = self.duration(&mut o, "notes_every", Some("0s"));
         let connect_within = self.duration(&mut o, "connect_within", Some("250ms"));
         let poll_within = self.duration(&mut o, "poll_within", Some("5s"));
@@ -359,6 +368,8 @@
             bills: bills?,
             cancel: cancel?,
             priorities: priorities?,
+            ends: ends?,
+            pauses: pauses?,
             notes_every: notes_every?,
             connect_within: connect_within?,
             poll_within: poll_within?,
@@ -383,6 +394,67 @@
         })
     }
 
+    fn runaways(
+        &mut self,
+        top: &mut Object<'_>,
+        classes: &Option<Vec<ClassSettings>>,
+    ) -> Option<RunawaySettings> {
+        let value = self.optional(top, "runaways").unwrap_or(&Value::Null);
+        let mut o = self.object(value, "runaways");
+        let usual = hoptiller_runaway::Acts { name: true, hold: true, ..Default::default() };
+        let usual = match self.optional(&mut o, "acts") {
+            None => Some(usual),
+            Some(value) => self.acts(value, "runaways.acts".into()),
+        };
+        let mut acts: Vec<Option<hoptiller_runaway::Acts>> =
+            vec![usual; classes.as_ref().map_or(0, Vec::len)];
+        let by_class = self.optional(&mut o, "classes").unwrap_or(&Value::Null);
+        let by_class = self.object(by_class, "runaways.classes");
+        for (name, value) in by_class.fields.into_iter().flatten() {
+            let path = by_class.at(name);
+            match classes.iter().flatten().position(|c| c.name == *name) {
+                Some(at) => acts[at] = self.acts(value, path),
+                None if classes.is_some() => self.note(path, "is no class of this file"),
+                None => {}
+            }
+        }
+        let end_after = self.duration(&mut o, "end_after", Some("10s"));
+        let pause_for = self.duration(&mut o, "pause_for", Some("10s"));
+        let kinds = self.count(&mut o, "kinds", Some(4096));
+        let save_every = self.duration(&mut o, "save_every", Some("30s"));
+        self.done(o);
+        Some(RunawaySettings {
+            acts: acts.into_iter().collect::<Option<_>>()?,
+            end_after: end_after?,
+            pause_for: pause_for?,
+            kinds: kinds? as usize,
+            save_every: save_every?,
+        })
+    }
+
+    fn acts(&mut self, value: &Value, path: String) -> Option<hoptiller_runaway::Acts> {
+        let mut acts = hoptiller_runaway::Acts::default();
+        let Some(list) = value.as_array() else {
+            self.note(path, format!("a list of {ACTS} is wanted"));
+            return None;
+        };
+        for (at, word) in list.iter().enumerate() {
+            let slot = match word.as_str() {
+                Some("name") => &mut acts.name,
+                Some("hold") => &mut acts.hold,
+                Some("lower") => &mut acts.lower,
+                Some("pause") => &mut acts.pause,
+                Some("end") => &mut acts.end,
+                _ => {
+                    self.note(format!("{path}[{at}]"), format!("{word} is none of {ACTS}"));
+                    return None;
+                }
+            };
+            *slot = true;
+        }
+        Some(acts)
+    }
+
     fn discovery(&mut self, mut o: Object<'_>) -> Option<DiscoverySettings> {
         let address = self.address(&mut o, "address");
         let environment = self.text(&mut o, "environment");
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -42,10 +42,17 @@
     value["discovery"]["every"] = json!("50ms");
     value["discovery"]["state_every"] = json!("50ms");
     value["limits"] = json!({ "long_poll": "200ms" });
+    value["router"]["admin"] = json!(free_address().to_string());
     change(&mut value);
     Settings::from_value("derby.jsonnet", &value).unwrap_or_else(|p| panic!("{p:?}"))
 }
 
+/// An address that nobody listens on just now.
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
 impl Stage {
     pub fn new(engines: usize) -> Stage {
         Stage::with(engines, |_| {}, |_| {})
@@ -126,6 +133,7 @@
             trace: format!("t{request}.0"),
             class: class.into(),
             key: None,
+            tags: String::new(),
             text: text.into(),
             patience: Duration::from_secs(6),
             manner: Manner::default(),
@@ -143,6 +151,40 @@
         future::block_on(self.client().get(path)).expect("an answer")
     }
 
+    /// What the administration API says of runaways.
+    pub fn runaways(&self) -> Value {
+        let admin = self.settings.router.admin.expect("set for all stages");
+        let answer = send_to(admin, &Request::new(Method::Get, "/v1/admin/runaways"));
+        serde_json::from_slice(&answer.body).expect("JSON")
+    }
+
+    /// Waits, generously, until what it says is as wanted.
+    pub fn wait_for_runaways(&self, what: &str, wanted: impl Fn(&Value) -> bool) -> Value {
+        let began = Instant::now();
+        loop {
+            let now = self.runaways();
+            if wanted(&now) {
+                return now;
+            }
+            assert!(began.elapsed() < Duration::from_secs(40), "waited in vain for {what}: {now:#}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Runs so many statements of a kind, several at once, all served.
+    pub fn teach(&self, class: &str, text: &str, runs: usize) {
+        std::thread::scope(|s| {
+            for _ in 0..8 {
+                s.spawn(|| {
+                    for _ in 0..runs.div_ceil(8) {
+                        let came = self.run(&self.ask(class, text)).0;
+                        assert!(matches!(came, Came::Served(_)), "{text}: {came:?}");
+                    }
+                });
+            }
+        });
+    }
+
     pub fn info(&self) -> Value {
         serde_json::from_slice(&self.get("/v1/info").body).expect("JSON")
     }
@@ -179,6 +221,15 @@
         }
     }
 
+    /// Waits, generously, until an attempt of any of them has reached an engine.
+    pub fn wait_until_sent_any(&self, asks: &[Ask]) {
+        let began = Instant::now();
+        while asks.iter().all(|ask| self.sent(ask) == 0) {
+            assert!(began.elapsed() < Duration::from_secs(20), "none is sent");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     pub fn posted(&self, ask: &Ask) -> usize {
         self.ledger.postings().get(&ask.trace).copied().unwrap_or(0)
     }
--- a/crates/router/tests/core.rs
+++ b/crates/router/tests/core.rs
@@ -6,8 +6,10 @@
 use hoptiller::{Ending, EngineId, Entry, Micros, Readiness, Scope};
 use hoptiller_router::Settings;
 use hoptiller_router::core::{
-    Answer, Bounds, Command, Content, Core, Ended, Failure, Final, Page, Poll, StatementId, Submission, Work,
+    Answer, Bounds, Command, Content, Core, Ended, Failure, Final, Names, Page, Poll, StatementId,
+    Submission, Work,
 };
+use hoptiller_runaway::{Announced, Proof, Watch};
 use proptest::prelude::*;
 use serde_json::value::RawValue;
 
@@ -26,6 +28,8 @@
     Page(usize, bool),
     Ended(usize, u8),
     Wrong(usize),
+    /// Ended at its engine on demand, with what the engine says of its effects.
+    Killed(usize, u8),
     /// A page of an attempt whose end was told.
     Stale(usize),
     Pass(Micros),
@@ -41,7 +45,8 @@
         1 => some.clone().prop_map(Step::Cancel),
         5 => (some.clone(), any::<bool>()).prop_map(|(n, last)| Step::Page(n, last)),
         2 => (some.clone(), 0u8..7).prop_map(|(n, e)| Step::Ended(n, e)),
-        1 => some.prop_map(Step::Wrong),
+        1 => some.clone().prop_map(Step::Wrong),
+        1 => (some, 0u8..3).prop_map(|(n, p)| Step::Killed(n, p)),
         1 => (0usize..64).prop_map(Step::Stale),
         4 => (1u64..3_000).prop_map(|ms| Step::Pass(ms * MS)),
     ]
@@ -68,6 +73,7 @@
     out: Vec<(StatementId, u32, bool)>,
     sends: BTreeMap<StatementId, Vec<(EngineId, Vec<Ending>)>>,
     settled: BTreeMap<StatementId, Final>,
+    proofs: BTreeMap<StatementId, Vec<Proof>>,
     bounds: Bounds,
 }
 
@@ -87,7 +93,9 @@
             abandon_after: 9_000 * MS,
             held_bytes: 60,
         };
-        let mut core = Core::new(settings.decisions(), 5, bounds).expect("usable");
+        let watch = Watch::new(settings.watch());
+        let names = Names { router: "r1".into(), life: "life".into() };
+        let mut core = Core::new(settings.decisions(), 5, bounds, watch, names).expect("usable");
         let entry = |n: u32| Entry {
             engine: EngineId(n),
             zone: Some(0),
@@ -96,9 +104,9 @@
             ready_at: 0,
             readiness: Readiness::Up,
         };
-        core.list(Scope::All, (0..3).map(entry).collect());
-        let (clients, sends, settled) = Default::default();
-        World { core, now: START, clients, out: Vec::new(), sends, settled, bounds }
+        core.list(START, Scope::All, (0..3).map(entry).collect());
+        let (clients, sends, settled, proofs) = Default::default();
+        World { core, now: START, clients, out: Vec::new(), sends, settled, proofs, bounds }
     }
 
     fn round(&mut self) -> Result<(), TestCaseError> {
@@ -130,7 +138,10 @@
                     prop_assert!(self.settled.insert(id, how).is_none(), "settled twice");
                 }
                 Command::Probe(engine) => self.core.probed(engine, None),
-                Command::AskDiscovery | Command::Wake(_) => {}
+                Command::Kill { .. } | Command::Pause { .. } => {
+                    prop_assert!(false, "nothing here may be ended or paused");
+                }
+                Command::AskDiscovery | Command::Wake(_) | Command::Found(_) => {}
             }
         }
         let (open, kept, _) = self.core.sizes();
@@ -173,7 +184,7 @@
             Step::Submit(class) => {
                 let work = Rc::new(Work::default());
                 let (tenant, key, tables, repeat, patience) = Default::default();
-                let s = Submission { class, tenant, key, tables, repeat, patience, work };
+                let s = Submission { class, tenant, key, tables, repeat, patience, work, ..submission() };
                 match self.core.submit(self.now, s) {
                     Ok(id) => {
                         self.clients.insert(id, Seen { class, next: 0, ..Seen::default() });
@@ -260,6 +271,17 @@
                     self.core.wrong(self.now, id, hop, failure);
                 }
             }
+            Step::Killed(n, proof) => {
+                if !self.out.is_empty() {
+                    let (id, hop, _) = self.out.remove(n % self.out.len());
+                    let proof = [Proof::RolledBack, Proof::Committed, Proof::Unknown][usize::from(proof)];
+                    self.proofs.entry(id).or_default().push(proof);
+                    if let Some(a) = self.sends.get_mut(&id).and_then(|s| s.get_mut(hop as usize)) {
+                        a.1.push(Ending::Cancelled);
+                    }
+                    self.core.killed(self.now, id, hop, proof, "x".into());
+                }
+            }
             Step::Stale(n) => {
                 let ended = |s: &[(EngineId, Vec<Ending>)]| {
                     let all = s.iter().enumerate().filter(|(_, a)| !a.1.is_empty());
@@ -309,6 +331,11 @@
             // A client that went away for longer than it may is not waited for; all others were answered.
             let away = matches!(settled, Some(Final::Abandoned | Final::Canceled));
             prop_assert!(seen.finals == 1 || seen.left || away || gone.contains(id), "{id}: {:?}", settled);
+            // Unsafe work that was ended is called harmless only where its engine said that all is undone.
+            if let (2, Some(Final::EndedByRule { .. })) = (seen.class, settled) {
+                let proofs = self.proofs.get(id).map_or(&[][..], |p| p);
+                prop_assert_eq!(proofs, &[Proof::RolledBack][..]);
+            }
             // Unsafe work is refused only where no attempt can have run.
             if let (2, Some(Final::Refused { .. })) = (seen.class, settled) {
                 let none = Vec::new();
@@ -354,11 +381,26 @@
     Page { rows: Some(rows.into()), last, ..Page::default() }
 }
 
+fn submission() -> Submission {
+    Submission {
+        class: 0,
+        tenant: None,
+        key: None,
+        tables: None,
+        fingerprint: 1,
+        label: "select ?".into(),
+        announced: Announced::default(),
+        repeat: false,
+        patience: None,
+        work: Rc::new(Work::default()),
+    }
+}
+
 /// Submits a statement that an engine gets at once.
 fn taken(world: &mut World, class: usize) -> StatementId {
     let work = Rc::new(Work::default());
     let (tenant, key, tables, repeat, patience) = Default::default();
-    let s = Submission { class, tenant, key, tables, repeat, patience, work };
+    let s = Submission { class, tenant, key, tables, repeat, patience, work, ..submission() };
     let id = world.core.submit(world.now, s).expect("taken");
     world.now += 20 * MS;
     world.core.round(world.now);
--- a/crates/runaway/src/expect.rs
+++ b/crates/runaway/src/expect.rs
@@ -217,7 +217,13 @@
 
     /// What is usual of a class, for statements of which no more is known.
     pub fn expect_of_class(&self, class: usize, spec: &Class) -> Expected {
-        expected(None, &self.classes[class].0.run, 1.0, spec.aim as f64, spec)
+        let (run, usual) = (&self.classes[class].0.run, spec.aim as f64);
+        let expected = expected(None, run, 1.0, usual, spec);
+        // Its kind is known elsewhere: it gets no more room than one of its class has.
+        match (expected.basis, bar(run, FAR)) {
+            (Basis::Class(_), Some(bar)) => Expected { bar: bar.max(usual), ..expected },
+            _ => expected,
+        }
     }
 
     /// Takes in a run that was within its bound.
--- a/crates/runaway/src/judge.rs
+++ b/crates/runaway/src/judge.rs
@@ -5,7 +5,7 @@
 //! more strictly; work that engines tell is the attempt's own and no excuse is needed; where only time is known,
 //! it is divided by how slow the engine is for others; what all of a kind do is the kind's.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use hoptiller::{EngineId, Micros};
 
@@ -19,7 +19,7 @@
 /// Nothing is judged that has run for less.
 const YOUNG: f64 = 1_000_000.0;
 /// A figure must be over its bound for so long; one that is work already done needs no more proof.
-const SURE: Micros = 3_000_000;
+pub(crate) const SURE: Micros = 3_000_000;
 /// A share done is rough: so much is added to it, and what it leads to has so much more room.
 const ROUGH: f64 = 0.02;
 const ROOM: f64 = 1.25;
@@ -31,8 +31,8 @@
 /// What lacks memory does its work several times over, which is not its own fault.
 pub(crate) const SPILLS: f64 = 3.0;
 /// Statements held up from which the holder is judged by this part of its bound.
-const CROWD: usize = 8;
-const CROWD_PART: f64 = 0.25;
+pub(crate) const CROWD: usize = 8;
+pub(crate) const CROWD_PART: f64 = 0.25;
 /// Times usual from which a statement counts as long, for its kind to have changed.
 pub(crate) const LONG: f64 = 4.0;
 /// Times the usual work for a row that is a bad plan.
@@ -41,13 +41,6 @@
 const READS_FOR: Micros = 30_000_000;
 /// Runs beyond its bound after which a kind that has changed has new figures.
 const ADOPT: u64 = 8;
-/// Where nothing tells who waits for whom: times usual from which a statement may stand behind a load.
-const MAY_STAND: f64 = 4.0;
-/// Runaways of kinds hardly known, within this time, for which such kinds are held together.
-const STRANGERS: usize = 3;
-const STRANGERS_IN: Micros = 300_000_000;
-/// A statement that is not known here, and was not told of for so long, is gone.
-const UNTOLD: Micros = 5_000_000;
 
 /// A figure that is too much.
 struct Excess {
@@ -73,7 +66,7 @@
         }
         self.judge_foreign(now, &waits);
         self.act_due(now);
-        self.keep_groups_away();
+        self.keep_groups_away(now);
     }
 
     // ---- one attempt ----------------------------------------------------------------------------
@@ -100,7 +93,7 @@
             return self.over(now, id, Cause::Deadlock, &excess, blocks);
         }
         let Some(expected) = self.expected(id).copied() else { return };
-        let behind: Vec<String> = waits.behind(&o.start.name).iter().map(|s| (*s).to_owned()).collect();
+        let behind = behind_of(waits, &o.start.name);
         let crowd = behind.len() >= CROWD;
         let hog = self.hogs_memory(now, o, &expected);
         let slow = self.slowness(now, o.start.engine, Some(id)).0;
@@ -112,7 +105,9 @@
         // Where engines tell of others, one of which nothing comes is silent, not heavy: the routing's business.
         let silent = o.notes == 0 && self.outs.values().any(|other| other.notes > 0);
         let slow_place = slow_engines.contains(&o.start.engine);
-        let excused = stands || (by_time_only && !crowd && (slow_place || silent));
+        let hidden =
+            by_time_only && excess.as_ref().is_some_and(|e| self.may_stand_unseen(now, o, e.evidence.figure));
+        let excused = stands || hidden || (by_time_only && !crowd && (slow_place || silent));
         match (excess.filter(|_| !excused), hog) {
             (_, Some(evidence)) => {
                 self.over(now, id, Cause::Memory, &Excess { evidence, certain: false }, Vec::new());
@@ -139,6 +134,7 @@
         if self.findings.of(&of_kind).is_some_and(|f| f.cause == Cause::KindChanged) {
             return; // Known: one notice for all of them.
         }
+        let circle = if cause == Cause::Deadlock { blocks.clone() } else { Vec::new() };
         let sure = excess.certain || now - since >= SURE;
         let own_fault = matches!(cause, Cause::Heavy | Cause::BadPlan);
         let says = match own_fault && !self.findings.is_runaway(&subject) {
@@ -171,7 +167,7 @@
         let news = self.findings.say(found, &mut out);
         self.decisions = out;
         if news && verdict == Verdict::Runaway {
-            self.act(now, id, cause);
+            self.act(now, id, cause, &circle);
         }
     }
 
@@ -377,186 +373,9 @@
         self.decisions = out;
         slow
     }
-
-    // ---- others' statements ---------------------------------------------------------------------
-
-    /// Statements of other routers, or of an earlier life of this one, by what stands behind them here.
-    fn judge_foreign(&mut self, now: Micros, waits: &Waits) {
-        let mut names: BTreeSet<String> = self.foreign.keys().cloned().collect();
-        // Own ones for which nobody waits at this end: they are known by name, and judged alike.
-        let ghosts = self.ghosts.iter().filter_map(|id| self.outs.get(id)).map(|o| o.start.name.clone());
-        names.extend(ghosts);
-        for name in names {
-            let behind: Vec<String> = waits.behind(&name).iter().map(|s| (*s).to_owned()).collect();
-            let subject = Subject::Statement(name.clone());
-            let ghost = self.named(&name).and_then(|id| self.outs.get(&id).map(|o| (id, o)));
-            let (engine, class, since, over) = match (&ghost, self.foreign.get(&name)) {
-                (Some((_, o)), _) => (o.start.engine, Some(o.start.class), o.at, o.over),
-                (None, Some(f)) => {
-                    if now.saturating_sub(f.told) > UNTOLD {
-                        self.foreign.remove(&name);
-                        let mut out = std::mem::take(&mut self.decisions);
-                        self.findings.clear(now, &subject, "nothing stands behind it any more", &mut out);
-                        self.decisions = out;
-                        continue;
-                    }
-                    (f.engine, f.class, f.since, f.over)
-                }
-                (None, None) => continue,
-            };
-            if behind.len() < CROWD {
-                continue;
-            }
-            // Its kind is not known here: what its class takes, or the class that takes longest.
-            let of = |c: usize| self.book.expect_of_class(c, &self.cfg.classes[c]);
-            let all = (0..self.cfg.classes.len()).map(of);
-            let widest = || all.max_by(|a, b| a.bar.total_cmp(&b.bar));
-            let own = ghost.as_ref().and_then(|(id, _)| self.expected(*id)).map(|e| e.run);
-            let Some(e) = own.or_else(|| class.map(of)).or_else(widest) else { continue };
-            let ran = now.saturating_sub(since) as f64;
-            if ran <= e.bar * CROWD_PART {
-                continue;
-            }
-            let since_over = over.unwrap_or(now);
-            let verdict = if now - since_over >= SURE { Verdict::Runaway } else { Verdict::Suspect };
-            let (kind, label) = match &ghost {
-                Some((_, o)) => (Some(o.start.kind), o.start.label.to_string()),
-                None => (None, String::new()),
-            };
-            let found = Finding {
-                id: 0,
-                subject,
-                verdict,
-                cause: Cause::Blocks,
-                class,
-                kind,
-                label,
-                engine: Some(engine),
-                started: since,
-                since: since_over,
-                at: now,
-                evidence: evidence(Measure::Run, ran, &Expected { bar: e.bar * CROWD_PART, ..e }),
-                blocked: behind.len(),
-                blocks: behind.into_iter().take(BLOCKED).collect(),
-                note: match ghost {
-                    Some(_) => "this router waits for it no longer; its engine goes on",
-                    None => "not a statement of this router's present life",
-                },
-            };
-            let id = ghost.map(|(id, _)| id);
-            let mut out = std::mem::take(&mut self.decisions);
-            let news = self.findings.say(found, &mut out);
-            self.decisions = out;
-            if let Some(f) = self.foreign.get_mut(&name) {
-                f.over = Some(since_over);
-            }
-            if let Some(o) = id.and_then(|id| self.outs.get_mut(&id)) {
-                o.over = Some(since_over);
-            }
-            if let (true, Verdict::Runaway, Some(id)) = (news, verdict, id) {
-                self.act(now, id, Cause::Blocks);
-            }
-        }
-    }
-
-    /// Where engines don't tell who waits for whom: what reads or writes the tables of a load that came before
-    /// it at the same engine, and takes far longer than usual, may stand behind that.
-    pub(crate) fn infer(&self, now: Micros, waits: &mut Waits) {
-        let told = self.outs.values().any(|o| o.notes > 0 || o.stands.is_some());
-        if told {
-            return;
-        }
-        let loads = |o: &&Out| self.cfg.classes[o.start.class].holds && o.start.group.is_some();
-        for load in self.outs.values().filter(loads) {
-            for o in self.outs.values().filter(|o| o.gone.is_none()) {
-                let same = o.start.engine == load.start.engine && o.start.group == load.start.group;
-                let usual = self.expected(o.start.attempt).map_or(f64::INFINITY, |e| e.run.usual);
-                if same && o.at > load.at && o.moved(now) > MAY_STAND * usual {
-                    waits.add(&o.start.name, &load.start.name);
-                }
-            }
-        }
-    }
-
-    // ---- acts -----------------------------------------------------------------------------------
-
-    /// What is done about a runaway, by the rules for its class.
-    fn act(&mut self, now: Micros, id: AttemptId, cause: Cause) {
-        let Some(o) = self.outs.get_mut(&id) else { return };
-        let (class, kind, label) = (o.start.class, o.start.kind, o.start.label.clone());
-        let spec = &self.cfg.classes[class];
-        let acts = spec.acts;
-        let alive = o.gone.is_none() && o.flowing.is_none();
-        if acts.end && alive {
-            o.end_at = Some(now + self.cfg.end_after);
-        }
-        // Danger: one that holds what others wait for would hold it all the longer.
-        let holds_up = spec.holds || matches!(cause, Cause::Blocks | Cause::Deadlock | Cause::Memory);
-        if acts.pause && alive && !holds_up && !o.paused {
-            (o.paused, o.resume_at) = (true, Some(now + self.cfg.pause_for));
-            self.decisions.push(Decision::Pause(id));
-        }
-        if !acts.hold {
-            return;
-        }
-        let held_as = self.hold_kind(now, kind, class);
-        self.holds.found(now, held_as, class, &label, acts.lower);
-        if let Some(o) = self.outs.get_mut(&id) {
-            (o.counts, o.start.held_as) = (true, held_as);
-        }
-    }
-
-    /// The kind to hold: the statement's own, or all that are hardly known where several of them ran away, as
-    /// when every text is another one.
-    fn hold_kind(&mut self, now: Micros, kind: KindId, class: usize) -> KindId {
-        if self.book.is_known(kind) {
-            return kind;
-        }
-        let times = &mut self.strangers[class];
-        times.push_back(now);
-        while times.front().is_some_and(|at| now - *at > STRANGERS_IN) {
-            times.pop_front();
-        }
-        // While the class itself is new, all of its kinds are.
-        match times.len() >= STRANGERS && self.book.known_of(class) > 0 {
-            true => KindId::unknown(&self.cfg.classes[class].name),
-            false => kind,
-        }
-    }
-
-    /// Ends and resumes what is due.
-    fn act_due(&mut self, now: Micros) {
-        for (id, o) in &mut self.outs {
-            let alive = o.gone.is_none() && o.flowing.is_none();
-            if o.resume_at.is_some_and(|at| at <= now || !alive) {
-                o.resume_at = None;
-                self.decisions.push(Decision::Resume(*id));
-            }
-            if alive && !o.ended && o.end_at.is_some_and(|at| at <= now) {
-                o.ended = true;
-                self.decisions.push(Decision::End(*id));
-            }
-        }
-    }
-
-    /// Keeps groups of tables away from engines where a runaway load holds them.
-    fn keep_groups_away(&mut self) {
-        let mut away: BTreeMap<u64, Vec<EngineId>> = BTreeMap::new();
-        for o in self.outs.values() {
-            let spec = &self.cfg.classes[o.start.class];
-            let (true, true, Some(group)) = (spec.holds, spec.acts.hold, o.start.group) else { continue };
-            if self.findings.is_runaway(&Subject::Statement(o.start.name.clone())) {
-                let engines = away.entry(group).or_default();
-                if !engines.contains(&o.start.engine) {
-                    engines.push(o.start.engine);
-                }
-            }
-        }
-        self.holds.keep_away(away);
-    }
 }
 
-fn evidence(measure: Measure, figure: f64, e: &Expected) -> Evidence {
+pub(crate) fn evidence(measure: Measure, figure: f64, e: &Expected) -> Evidence {
     Evidence { measure, figure, usual: e.usual, bar: e.bar, basis: e.basis }
 }
 
@@ -610,3 +429,8 @@
     let (Some(work), Some(rows), Some(usual)) = (o.news.work, o.news.rows, e.per_rows) else { return false };
     work as f64 * 1000.0 / (rows as f64).max(1.0) > BAD_PLAN * usual
 }
+
+/// Who stands behind one, by name.
+pub(crate) fn behind_of(waits: &Waits, name: &str) -> Vec<String> {
+    waits.behind(name).iter().map(|s| (*s).to_owned()).collect()
+}
--- a/crates/runaway/src/lib.rs
+++ b/crates/runaway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`expect`]: what is usual for a kind, a class, an announced size.
 //! - [`watch`]: the attempts that are out, and what engines tell of them.
 //! - [`judge`]: the verdicts on them.
+//! - `others`: those of other routers and of earlier lives; `acts`: what is done about them.
 //! - [`change`]: whether all of a kind run long.
 //! - [`findings`]: verdicts that stand, and those that did.
 //! - [`blame`]: who stands behind whom.
@@ -16,6 +17,7 @@
 //! - [`ending`]: what may be said of a statement that was ended.
 //! - [`snapshot`]: what survives a restart.
 
+mod acts;
 pub mod blame;
 pub mod change;
 pub mod ending;
@@ -25,6 +27,7 @@
 pub mod hold;
 pub mod interface;
 pub mod judge;
+mod others;
 mod sketch;
 pub mod snapshot;
 pub mod watch;
--- a/crates/runaway/src/watch.rs
+++ b/crates/runaway/src/watch.rs
@@ -4,7 +4,7 @@
 //! An attempt stays here after its router stopped waiting for it, where its engine may go on with it: that one is
 //! often what others stand behind.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 use hoptiller::{EngineId, Micros};
@@ -16,6 +16,7 @@
 use crate::findings::Findings;
 use crate::hold::{Holds, KindHold};
 use crate::interface::*;
+use crate::others::AWAY_FOR;
 
 /// Time between two looks at everything.
 pub const LOOK_EVERY: Micros = 500_000;
@@ -24,6 +25,10 @@
 /// An attempt that may go on at its engine is remembered for so long, and so many of them at most.
 const GHOST_FOR: Micros = 900_000_000;
 const GHOSTS: usize = 1024;
+/// Engines that have told nothing for so long tell nothing.
+const TELLS_FOR: Micros = 60_000_000;
+/// Places where something has passed lately that are remembered.
+const PASSED: usize = 8192;
 /// Statements of other routers that are remembered.
 const FOREIGN: usize = 256;
 /// An expectation is looked up again after this time.
@@ -81,6 +86,11 @@
     pub since: Micros,
     pub told: Micros,
     pub over: Option<Micros>,
+    /// The tables of what stood behind it: kept away from there until then, for longer each time that it was
+    /// still there after. 0: never found to be a runaway.
+    pub groups: BTreeSet<u64>,
+    pub away_until: Micros,
+    pub away_for: Micros,
 }
 
 /// Finds runaways. See the [crate](crate).
@@ -100,6 +110,10 @@
     /// By class: when runaways of kinds hardly known were found.
     pub(crate) strangers: Vec<VecDeque<Micros>>,
     next_look: Micros,
+    /// When any engine last told anything of an attempt.
+    last_told: Option<Micros>,
+    /// By engine and group of tables: the latest start of what ran there as usual. Nothing held it up since.
+    passed: BTreeMap<(EngineId, u64), Micros>,
     pub(crate) decisions: Vec<Decision>,
 }
 
@@ -119,11 +133,18 @@
             holds: Holds::default(),
             engines: Vec::new(),
             next_look: 0,
+            last_told: None,
+            passed: BTreeMap::new(),
             decisions: Vec::new(),
             cfg,
         }
     }
 
+    /// The kind of a fingerprint in a class.
+    pub fn kind(&self, class: usize, fingerprint: u64) -> KindId {
+        KindId::new(&self.cfg.classes[class].name, fingerprint)
+    }
+
     // ---- what happens ---------------------------------------------------------------------------
 
     /// A statement has come. The kind under which it can be held: its own, or that of all kinds hardly known,
@@ -165,6 +186,7 @@
 
     /// An engine tells of an attempt.
     pub fn told(&mut self, now: Micros, attempt: AttemptId, news: News) {
+        self.last_told = Some(now);
         let Some(o) = self.outs.get_mut(&attempt) else { return };
         if news.stands.is_some() {
             o.stood += now.saturating_sub(o.told);
@@ -198,7 +220,9 @@
         }
         let since = now.saturating_sub(holder.age.unwrap_or(0));
         let class = holder.class.filter(|c| *c < self.cfg.classes.len());
-        let fresh = || Foreign { engine, class, since, told: now, over: None };
+        let (groups, over) = Default::default();
+        let fresh =
+            || Foreign { engine, class, since, told: now, over, groups, away_until: 0, away_for: AWAY_FOR };
         let f = self.foreign.entry(holder.name.clone()).or_insert_with(fresh);
         (f.told, f.engine, f.since) = (now, engine, f.since.min(since));
         f.class = f.class.or(class);
@@ -271,12 +295,36 @@
         if figure < of.usual * crate::judge::LONG || known_by_work && moved < expected.run.usual {
             self.changes.usual(s.kind, id, o.at);
         }
+        if let (Some(group), true) = (s.group, figure < of.usual * crate::judge::LONG) {
+            self.note_passed(now, (s.engine, group), o.at);
+        }
         if !self.changes.knows(s.kind) {
             self.book.disown(s.kind);
         }
         self.book.learn(s.kind, s.class, s.announced, &run);
     }
 
+    fn note_passed(&mut self, now: Micros, at: (EngineId, u64), started: Micros) {
+        let last = self.passed.entry(at).or_default();
+        *last = (*last).max(started);
+        if self.passed.len() > PASSED {
+            self.passed.retain(|_, started| now.saturating_sub(*started) < TELLS_FOR);
+        }
+        if self.passed.len() > PASSED {
+            self.passed.clear();
+        }
+    }
+
+    /// Whether something of those tables that began there after this time has run as usual.
+    pub(crate) fn has_passed(&self, engine: EngineId, group: u64, since: Micros) -> bool {
+        self.passed.get(&(engine, group)).is_some_and(|started| *started > since)
+    }
+
+    /// Whether engines tell anything of attempts, or have lately.
+    pub(crate) fn tells(&self, now: Micros) -> bool {
+        self.last_told.is_some_and(|at| now.saturating_sub(at) < TELLS_FOR)
+    }
+
     /// The router stopped waiting; the engine may go on.
     fn goes_on(&mut self, now: Micros, attempt: AttemptId) {
         let Some(o) = self.outs.get_mut(&attempt) else { return };
--- a/crates/runaway/tests/verdicts.rs
+++ b/crates/runaway/tests/verdicts.rs
@@ -351,11 +351,49 @@
     for id in waiting {
         w.watch.ended(w.now, World::attempt(id), End::Failed, None);
     }
-    w.go(7);
+    w.go(60);
     assert!(w.watch.open().all(|f| f.subject != Subject::Statement("r2/00009_gone".into())));
     assert_eq!(w.watch.sizes().2, 0, "and it is forgotten");
 }
 
+#[test]
+fn tables_stay_away_from_another_routers_runaway_and_come_back_when_it_is_gone() {
+    let mut w = World::with_past(NAME_AND_HOLD, 4);
+    let stand = |w: &mut World, n: u64, seconds: u64| {
+        let mut ids = Vec::new();
+        for _ in 0..n {
+            let mut job = w.job(LOOKUP, LOOKUP as u64, 2, 250_000.0);
+            job.group = Some(5);
+            ids.push(w.run(job));
+        }
+        w.running.clear();
+        for second in 0..seconds {
+            for id in &ids {
+                let age = Some((60 + second) * S);
+                let holder = Holder { name: "r2/00009_x".into(), class: Some(LOAD), age };
+                w.stands(*id, Stands::Behind(Some(holder)));
+            }
+            w.go(1);
+        }
+        ids.iter().for_each(|id| w.watch.ended(w.now, World::attempt(*id), End::Failed, None));
+    };
+    let away = |w: &World| w.watch.kept_away().any(|(g, e)| (*g, &e[..]) == (5, &[EngineId(2)][..]));
+    stand(&mut w, 10, 6);
+    assert!(away(&w));
+    w.go(15);
+    assert!(away(&w), "nothing stands behind it just now: it is kept in mind");
+    w.go(6);
+    assert!(!away(&w), "tried again");
+    // One alone that meets it again is enough.
+    stand(&mut w, 1, 2);
+    assert!(away(&w));
+    w.go(35);
+    assert!(away(&w), "for longer this time");
+    w.go(20);
+    assert!(!away(&w) && w.watch.sizes().2 == 0, "gone, and forgotten");
+    assert_eq!(w.runaways().len(), 1, "one verdict");
+}
+
 #[test]
 fn kinds_made_up_by_the_thousand_cost_bounded_memory_and_are_held_together() {
     let mut w = World::with_past(NAME_AND_HOLD, 4);
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -21,6 +21,8 @@
     pub class: String,
     /// Ordering key.
     pub key: Option<String>,
+    /// Further tags: `tables=7,size=12`.
+    pub tags: String,
     /// Text.
     pub text: String,
     /// How long the client waits.
@@ -119,6 +121,9 @@
         if let Some(key) = &ask.key {
             tags.push_str(&format!(",key={key}"));
         }
+        if !ask.tags.is_empty() {
+            tags.push_str(&format!(",{}", ask.tags));
+        }
         let mut post = Request::new(Method::Post, STATEMENT)
             .with(names::USER, "scripted")
             .with(names::TAGS, &tags)
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -18,13 +18,13 @@
 use hoptiller_http::{Limits, Method, Request, Response, Spawner};
 use hoptiller_statement::discovery::{ANNOUNCEMENT, AnnouncedService, Announcement, ENGINE_TYPE, NodeStatus};
 use hoptiller_statement::results::{QueryError, Stats};
-use hoptiller_statement::{ErrorType, QueryResults, STATEMENT, State, client, extra};
+use hoptiller_statement::{ErrorName, ErrorType, QueryResults, STATEMENT, State, client, extra};
 use serde_json::value::{RawValue, to_raw_value};
 
 use crate::Running;
 use crate::fault::Faults;
 use crate::ledger::Ledger;
-use crate::model::{Admission, Model, Spec};
+use crate::model::{Admission, Course, Model, Spec, Stands};
 use crate::shape::{self, Shape};
 
 /// What a stand-in engine is.
@@ -46,8 +46,10 @@
     pub spec: Spec,
     /// It starts cold.
     pub cold: bool,
-    /// It tells progress in answers to polls.
+    /// It tells progress, work and who stands behind whom in answers to polls.
     pub notes: bool,
+    /// It lets statements be ended and paused.
+    pub ends: bool,
     /// Its effects.
     pub ledger: Ledger,
     /// What passes on its sockets.
@@ -69,6 +71,7 @@
             spec: Spec::default(),
             cold: false,
             notes: false,
+            ends: false,
             ledger: Ledger::default(),
             recorder: Recorder::default(),
             faults: Arc::default(),
@@ -99,8 +102,14 @@
 struct Session {
     trace: String,
     shape: Shape,
+    /// What its router calls it, its class, and when it came.
+    name: String,
+    class: String,
+    came: u64,
     done: bool,
     failed: bool,
+    /// It was ended on demand: why.
+    killed: Option<String>,
     faults: Faults,
     bell: Rc<Bell>,
 }
@@ -163,6 +172,9 @@
         self.model.set_speed(self.config.spec.speed / slow.unwrap_or(1.0));
         for id in ended {
             let Some(s) = self.sessions.get_mut(&id) else { continue };
+            if s.killed.is_some() {
+                continue;
+            }
             s.done = true;
             let (engine, trace) = (self.config.node.clone(), s.trace.clone());
             if s.shape.posts && !s.shape.wrong && self.config.ledger.post(&trace).is_ok() {
@@ -270,6 +282,14 @@
             _ => poll(engine, id, page, addr).await,
         };
     }
+    if let Some(rest) = path.strip_prefix("/v1/query/") {
+        if rest.ends_with("/killed") {
+            let id =
+                rest.strip_suffix("/killed").and_then(|q| q.rsplit_once('_')).and_then(|q| q.1.parse().ok());
+            wait_if_told(engine, id).await;
+        }
+        return control(engine, &request, rest);
+    }
     let router = request.headers.get(extra::ROUTER).map(str::to_owned);
     let mut inner = engine.0.borrow_mut();
     match (path.as_str(), &request.method) {
@@ -329,6 +349,7 @@
         trace if trace.is_empty() => statement,
         trace => trace,
     };
+    let body_text = String::from_utf8_lossy(&request.body).into_owned();
     let terms = header(extra::TERMS);
     let hop = extra::number(&terms, "hop").unwrap_or(0.0) as u32;
     let (node, kind) = (inner.config.node.clone(), inner.config.kind.clone());
@@ -348,9 +369,8 @@
         inner.config.recorder.write(over);
         return Reply::Close;
     }
-    let text = String::from_utf8_lossy(&request.body).into_owned();
     let seed = trace.bytes().fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
-    let mut shape = shape::of(&class, &text, seed);
+    let mut shape = shape::of(&class, &body_text, seed);
     shape.job.grant = extra::number(&terms, "grant_mb");
     shape.job.priority = extra::number(&terms, "priority").map_or(1, |p| p.clamp(0.0, 3.0) as u8);
     let now = inner.now();
@@ -372,6 +392,10 @@
     inner.trim();
     let session = Session {
         trace,
+        name: header(extra::STATEMENT_ID),
+        class,
+        came: now,
+        killed: None,
         failed: faults.fail || shape.wrong,
         shape,
         done: false,
@@ -418,7 +442,7 @@
         inner.advance();
         match inner.sessions.get(&id) {
             None => return Response::text(410, "no such statement any more").into(),
-            Some(s) => (s.bell.clone(), s.done, s.faults.mute),
+            Some(s) => (s.bell.clone(), s.done || s.killed.is_some(), s.faults.mute),
         }
     };
     if mute {
@@ -426,7 +450,7 @@
     }
     if !done {
         let news = bell.listen();
-        if !engine.0.borrow().sessions.get(&id).is_some_and(|s| s.done) {
+        if !engine.0.borrow().sessions.get(&id).is_some_and(|s| s.done || s.killed.is_some()) {
             future::or(news, async {
                 Timer::after(LONG_POLL).await;
             })
@@ -439,13 +463,29 @@
     let Some(s) = inner.sessions.get(&id) else {
         return Response::text(410, "no such statement any more").into();
     };
+    if let Some(why) = &s.killed {
+        let (name, message) = (ErrorName::KILLED.to_owned(), format!("Query killed. Message: {why}"));
+        let error = QueryError::new(name, 32, ErrorType::UserError, message);
+        return results((inner.process, id), addr, None, Stats::of(State::Failed), None, Some(error)).into();
+    }
     if !s.done {
+        let course = inner.model.course(id).filter(|_| inner.config.notes);
+        let stats = course.map_or_else(|| Stats::of(State::Running), |c| stats_of(s, &c));
         let mut answer =
-            results((inner.process, id), addr, Some(page), Stats::of(State::Running), None, None)
-                .with(extra::LOAD, &load);
-        if let (true, Some((done, stands))) = (inner.config.notes, inner.model.progress(id)) {
-            let note = if stands { ("waits", 1.0) } else { ("done", done) };
+            results((inner.process, id), addr, Some(page), stats, None, None).with(extra::LOAD, &load);
+        if let Some(course) = course {
+            let note = match course.stands {
+                Some(Stands::Memory) => ("lacks", s.shape.job.memory),
+                Some(_) => ("waits", 1.0),
+                None => ("done", course.done),
+            };
             answer.headers.push(extra::NOTE, &extra::text(&[note]));
+            if let Some(Stands::Behind(holder)) = course.stands
+                && let Some(h) = inner.sessions.get(&holder)
+            {
+                let age = inner.now().saturating_sub(h.came) / 1000;
+                answer.headers.push(extra::BEHIND, &format!("{}; class={}; age_ms={age}", h.name, h.class));
+            }
         }
         return answer.into();
     }
@@ -482,6 +522,83 @@
     }
 }
 
+/// Figures of a running statement, as the specification has them.
+fn stats_of(s: &Session, c: &Course) -> Stats {
+    Stats {
+        cpu_time_millis: (c.worked / 1000.0) as u64,
+        processed_rows: (s.shape.reads as f64 * c.done) as u64,
+        peak_memory_bytes: (c.memory * 1e6) as u64,
+        spilled_bytes: if c.spills { ((s.shape.job.memory - c.memory) * 1e6) as u64 } else { 0 },
+        progress_percentage: Some(c.done * 100.0),
+        ..Stats::of(State::Running)
+    }
+}
+
+/// With [`Faults::finish_first`], waits for a statement's own end.
+async fn wait_if_told(engine: &Engine, id: Option<u64>) {
+    loop {
+        let news = {
+            let inner = engine.0.borrow();
+            let session = id.and_then(|id| inner.sessions.get(&id));
+            session.filter(|s| s.faults.finish_first && !s.done).map(|s| s.bell.listen())
+        };
+        match news {
+            Some(news) => news.await,
+            None => return,
+        }
+    }
+}
+
+/// Ending, pausing, and what became of a statement. Ending is the specification's; pausing is not.
+fn control(engine: &Engine, request: &Request, rest: &str) -> Reply {
+    let mut inner = engine.0.borrow_mut();
+    inner.advance();
+    let now = inner.now();
+    let (query, what) = rest.split_once('/').unwrap_or((rest, ""));
+    let id = query.rsplit_once('_').and_then(|(_, id)| id.parse::<u64>().ok());
+    let id = id.filter(|id| query == format!("standin_{:x}_{id}", inner.process));
+    let Some((id, s)) = id.and_then(|id| Some((id, inner.sessions.get(&id)?))) else {
+        return Response::text(410, "no such statement").into();
+    };
+    let over = s.done || s.killed.is_some();
+    match (&request.method, what) {
+        (Method::Get, "") => {
+            let state =
+                if s.killed.is_some() { "FAILED" } else { if s.done { "FINISHED" } else { "RUNNING" } };
+            let body = serde_json::json!({ "queryId": query, "state": state });
+            let answer = Response::json(200, body.to_string());
+            match (s.faults.no_proof, s.killed.is_some(), s.done) {
+                (false, true, _) => answer.with(extra::EFFECTS, "rolled-back").into(),
+                (false, false, true) => answer.with(extra::EFFECTS, "committed").into(),
+                _ => answer.into(),
+            }
+        }
+        (Method::Put, "killed" | "paused") if !inner.config.ends => {
+            Response::text(403, "this engine ends and pauses nothing").into()
+        }
+        (Method::Put, "killed" | "paused") if over => Response::text(409, "it is over").into(),
+        (Method::Put, "killed") => {
+            let why = String::from_utf8_lossy(&request.body).into_owned();
+            inner.model.kill(now, id);
+            let node = inner.config.node.clone();
+            if let Some(s) = inner.sessions.get_mut(&id) {
+                s.killed = Some(why);
+                s.bell.notify(usize::MAX);
+                let trace = s.trace.clone();
+                inner.config.recorder.write(Record::Done { at: wall(), engine: node, trace, work: 0 });
+            }
+            engine.1.notify(1);
+            Response::new(202).into()
+        }
+        (Method::Put, "paused") => {
+            inner.model.pause(now, id, request.body == b"true");
+            engine.1.notify(1);
+            Response::new(202).into()
+        }
+        _ => Response::text(405, "not here").into(),
+    }
+}
+
 /// Columns and rows of a page: the same whenever it is asked for.
 fn rows_of(node: &str, s: &Session, page: u64) -> (Box<RawValue>, Box<RawValue>, bool) {
     // A varchar without a bound is one of the longest length.
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -28,6 +28,10 @@
     pub mute: bool,
     /// Answers with bytes that are no `QueryResults`.
     pub garbage: bool,
+    /// Orders to end a statement are looked at only when it has finished.
+    pub finish_first: bool,
+    /// Says nothing of the effects of what it has ended.
+    pub no_proof: bool,
     /// Works so many times slower, whatever it holds.
     pub slow: Option<f64>,
 }
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -73,6 +73,8 @@
     pub set: Option<u64>,
     /// A load: others of its set stand still until it ends.
     pub holds: bool,
+    /// From this share of its work on, it needs this set too, and stands still while another load has it.
+    pub then: Option<(f64, u64)>,
     /// 0 to 3.
     pub priority: u8,
 }
@@ -93,7 +95,50 @@
     job: Job,
     came: u64,
     left: f64,
+    /// Work in all, with what it does twice.
+    whole: f64,
     granted: Option<f64>,
+    paused: bool,
+}
+
+impl Held {
+    /// Work that is left when it needs its second set; none before it has one, or after.
+    fn left_at_then(&self) -> Option<f64> {
+        self.job.then.map(|(share, _)| self.job.work * (1.0 - share))
+    }
+
+    /// The sets that it has, if it is a load.
+    fn has(&self, set: u64) -> bool {
+        let second = self.job.then.is_some_and(|(_, s)| s == set && self.granted.is_some())
+            && self.left_at_then().is_some_and(|at| self.left < at);
+        self.job.holds && (self.job.set == Some(set) || second)
+    }
+}
+
+/// How far a statement has come.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Course {
+    /// Share of its work that is done.
+    pub done: f64,
+    /// Work that it has done, in µs; what it does more for want of memory included.
+    pub worked: f64,
+    /// Memory that it has, in MB.
+    pub memory: f64,
+    /// It does more work for want of memory.
+    pub spills: bool,
+    /// Why it stands still.
+    pub stands: Option<Stands>,
+}
+
+/// Why a statement stands still.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stands {
+    /// It waits for memory.
+    Memory,
+    /// Behind this one.
+    Behind(u64),
+    /// It was paused.
+    Paused,
 }
 
 /// The load of an engine.
@@ -188,7 +233,7 @@
                 self.warm.pop_front();
             }
         }
-        self.held.insert(id, Held { job, came: now, left, granted: None });
+        self.held.insert(id, Held { job, came: now, left, whole: left, granted: None, paused: false });
         self.grant();
         Admission::Taken
     }
@@ -214,18 +259,29 @@
             h.granted = Some(wanted);
             if wanted < h.job.memory {
                 h.left *= 1.0 + self.spec.spill * (1.0 - wanted / h.job.memory);
+                h.whole = h.left;
             }
         }
     }
 
-    /// Whether a statement stands still: no memory yet, or another that loads its set came before it.
+    /// Why a statement stands still: no memory yet, another that loads its set came before it, or has the set
+    /// that it needs next.
+    fn why_stands(&self, id: u64, h: &Held) -> Option<Stands> {
+        if h.paused {
+            return Some(Stands::Paused);
+        }
+        if h.granted.is_none() {
+            return Some(Stands::Memory);
+        }
+        let others = || self.held.iter().filter(|(other, _)| **other != id);
+        let before = |set: u64| others().find(|(other, o)| o.has(set) && (o.came, **other) < (h.came, id));
+        let second = h.job.then.filter(|_| h.left_at_then().is_some_and(|at| h.left <= at + 1e-6));
+        let has = |(_, set): (f64, u64)| others().find(|(_, o)| o.has(set));
+        h.job.set.and_then(before).or_else(|| second.and_then(has)).map(|(other, _)| Stands::Behind(*other))
+    }
+
     fn stands(&self, id: u64, h: &Held) -> bool {
-        let held_up = |set: u64| {
-            self.held.iter().any(|(other, o)| {
-                *other != id && o.job.holds && o.job.set == Some(set) && (o.came, *other) < (h.came, id)
-            })
-        };
-        h.granted.is_none() || h.job.set.is_some_and(held_up)
+        self.why_stands(id, h).is_some()
     }
 
     /// Work per µs of each statement that moves.
@@ -263,7 +319,9 @@
                 step = step.min(STEP);
             }
             for (id, rate) in &rates {
-                let left = self.held[id].left / rate.max(1e-9);
+                let h = &self.held[id];
+                let next = h.left_at_then().filter(|at| h.left > *at + 1e-6).map_or(h.left, |at| h.left - at);
+                let left = next / rate.max(1e-9);
                 step = step.min((left.ceil() as u64).max(1));
             }
             for (id, rate) in &rates {
@@ -286,7 +344,11 @@
 
     /// When to look again: the next end at present rates, or a step of a cold engine.
     pub fn next(&self) -> Option<u64> {
-        let ends = self.rates().into_iter().map(|(id, rate)| (self.held[&id].left / rate.max(1e-9)).ceil());
+        let ends = self.rates().into_iter().map(|(id, rate)| {
+            let h = &self.held[&id];
+            let next = h.left_at_then().filter(|at| h.left > *at + 1e-6).map_or(h.left, |at| h.left - at);
+            (next / rate.max(1e-9)).ceil()
+        });
         let next = ends.fold(f64::INFINITY, f64::min);
         let next =
             next.is_finite().then(|| self.now.saturating_add(next.min(1e15) as u64).max(self.now + 1))?;
@@ -301,10 +363,31 @@
         stopped
     }
 
-    /// Share of a statement's work that is done, and whether it stands still.
-    pub fn progress(&self, id: u64) -> Option<(f64, bool)> {
+    /// Ends a statement whatever engines do with cancels; what it has done is undone.
+    pub fn kill(&mut self, now: u64, id: u64) -> bool {
+        self.advance(now);
+        let stopped = self.held.remove(&id).is_some();
+        self.grant();
+        stopped
+    }
+
+    /// Lets a statement stand still, or go on. It keeps its memory and what it holds.
+    pub fn pause(&mut self, now: u64, id: u64, paused: bool) -> bool {
+        self.advance(now);
+        self.held.get_mut(&id).map(|h| h.paused = paused).is_some()
+    }
+
+    /// How far a statement has come.
+    pub fn course(&self, id: u64) -> Option<Course> {
         let h = self.held.get(&id)?;
-        Some(((1.0 - h.left / h.job.work.max(1.0)).clamp(0.0, 1.0), self.stands(id, h)))
+        let whole = h.whole.max(1.0);
+        Some(Course {
+            done: (1.0 - h.left / whole).clamp(0.0, 1.0),
+            worked: (whole - h.left).max(0.0),
+            memory: h.granted.unwrap_or(0.0),
+            spills: h.granted.is_some_and(|g| g < h.job.memory),
+            stands: self.why_stands(id, h),
+        })
     }
 
     /// Its load.
@@ -328,7 +411,7 @@
 
     fn job(work: f64) -> Job {
         let (io, memory, grant, set, holds, priority) = (0.0, 10.0, None, None, false, 1);
-        Job { work, threads: 1.0, io, memory, grant, set, holds, priority }
+        Job { work, threads: 1.0, io, memory, grant, set, holds, priority, then: None }
     }
 
     fn warm(spec: Spec) -> Model {
@@ -393,6 +476,34 @@
         assert_eq!(warm.admit(100 * S, 0, job(9e6)), Admission::Taken);
     }
 
+    #[test]
+    fn two_loads_that_need_each_others_sets_stand_for_ever_and_name_each_other() {
+        let mut m = warm(Spec::default());
+        let load = |set, then| Job { holds: true, set: Some(set), then: Some((0.5, then)), ..job(1e6) };
+        m.admit(100 * S, 0, load(1, 2));
+        m.admit(100 * S, 1, load(2, 1));
+        assert!(m.advance(200 * S).is_empty());
+        let stands = |m: &Model, id| m.course(id).and_then(|c| c.stands);
+        assert_eq!((stands(&m, 0), stands(&m, 1)), (Some(Stands::Behind(1)), Some(Stands::Behind(0))));
+        assert_eq!(m.course(0).map(|c| (c.done * 100.0).round()), Some(50.0));
+        assert!(m.kill(200 * S, 1) && !m.kill(200 * S, 1));
+        assert_eq!(m.advance(201 * S), [0]);
+    }
+
+    #[test]
+    fn a_paused_statement_keeps_what_it_holds_and_goes_on_where_it_stood() {
+        let mut m = warm(Spec::default());
+        let load = Job { holds: true, set: Some(1), ..job(1e6) };
+        m.admit(100 * S, 0, load.clone());
+        m.admit(100 * S, 1, Job { holds: false, ..load });
+        assert!(m.pause(100 * S + S / 2, 0, true) && !m.pause(100 * S, 9, true));
+        assert!(m.advance(200 * S).is_empty());
+        assert_eq!(m.course(0).and_then(|c| c.stands), Some(Stands::Paused));
+        assert_eq!(m.course(1).and_then(|c| c.stands), Some(Stands::Behind(0)));
+        m.pause(200 * S, 0, false);
+        assert_eq!((m.advance(201 * S), m.advance(202 * S)), (vec![0], vec![1]));
+    }
+
     #[test]
     fn ending_a_statement_stops_its_work_only_where_engines_can() {
         for cancels in [true, false] {
--- a/crates/standin/src/shape.rs
+++ b/crates/standin/src/shape.rs
@@ -1,6 +1,7 @@
 //! Owns how much work a statement is: by hints in a comment of its text, else by its class.
 //!
-//! `SELECT … /* work=250ms threads=2 io=0.3 memory=40 set=7 rows=100 pages=4 width=20 wrong */`
+//! `SELECT … /* work=250ms threads=2 io=0.3 memory=40 set=7 then=0.5:8 plan=20 rows=100 pages=4 width=20
+//! wrong */`; `plan` does so many times the work for the same rows read
 
 use hoptiller_statement::client::duration;
 
@@ -17,6 +18,8 @@
     pub pages: u64,
     /// Bytes of text in each row.
     pub width: usize,
+    /// Rows that it reads.
+    pub reads: u64,
     /// The engine answers that the statement is wrong.
     pub wrong: bool,
     /// It changes something: the ledger notes it.
@@ -27,8 +30,8 @@
 pub fn of(class: &str, text: &str, seed: u64) -> Shape {
     let draw = 0.5 + (seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 40) as f64 / (1u64 << 24) as f64;
     let job = |work_ms: f64, threads, io, memory, holds| {
-        let (grant, set, priority) = (None, None, 1);
-        Job { work: work_ms * 1000.0 * draw, threads, io, memory, grant, set, holds, priority }
+        let (grant, set, priority, then) = (None, None, 1, None);
+        Job { work: work_ms * 1000.0 * draw, threads, io, memory, grant, set, holds, priority, then }
     };
     // The Derby kind: short lookups, long reports, loads that hold what they write.
     let mut shape = match class {
@@ -38,6 +41,7 @@
         }
         _ => Shape { job: job(270.0, 1.0, 0.3, 20.0, false), ..Shape::lookup(5, 1) },
     };
+    let mut plan = 1.0;
     for hint in hints(text) {
         let (name, value) = hint.split_once('=').unwrap_or((hint, ""));
         let number = value.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
@@ -47,6 +51,14 @@
                     shape.job.work = (work.as_micros() as f64).max(1.0);
                 }
             }
+            ("then", _) => {
+                let parsed =
+                    value.split_once(':').map(|(share, set)| (share.parse::<f64>(), set.parse::<u64>()));
+                if let Some((Ok(share), Ok(set))) = parsed {
+                    shape.job.then = Some((share.clamp(0.0, 1.0), set));
+                }
+            }
+            ("plan", Some(n)) => plan = n.max(1.0),
             ("wrong", _) => shape.wrong = true,
             ("threads", Some(n)) => shape.job.threads = n.max(0.1),
             ("io", Some(n)) => shape.job.io = n.min(1.0),
@@ -58,14 +70,17 @@
             _ => {}
         }
     }
+    // With a good plan, 10 µs a row.
+    shape.reads = (shape.job.work / 10.0) as u64;
+    shape.job.work *= plan;
     shape
 }
 
 impl Shape {
     fn lookup(rows: u64, pages: u64) -> Shape {
         let (io, memory, grant, set, holds, priority) = (0.0, 0.0, None, None, false, 1);
-        let job = Job { work: 0.0, threads: 1.0, io, memory, grant, set, holds, priority };
-        Shape { job, rows, pages, width: 12, wrong: false, posts: false }
+        let job = Job { work: 0.0, threads: 1.0, io, memory, grant, set, holds, priority, then: None };
+        Shape { job, rows, pages, width: 12, reads: 0, wrong: false, posts: false }
     }
 }
 
@@ -88,6 +103,8 @@
         );
         assert_eq!((s.job.work, s.job.threads, s.rows, s.pages), (250_000.0, 3.0, 7, 2));
         assert_eq!((s.job.set, s.job.io, s.job.memory), (Some(9), 1.0, 200.0));
+        let s = of("report", "/* work=1s plan=30 then=0.25:8 */", 1);
+        assert_eq!((s.job.work, s.reads, s.job.then), (30e6, 100_000, Some((0.25, 8))));
         assert!(of("rent-load", "insert", 1).posts && !of("lookup", "select", 1).posts);
         let drawn: Vec<f64> = (0..100).map(|seed| of("lookup", "", seed).job.work).collect();
         assert!(drawn.iter().all(|w| (135_000.0..=405_000.0).contains(w)));
--- a/crates/statement/src/client.rs
+++ b/crates/statement/src/client.rs
@@ -33,6 +33,10 @@
     pub key: Option<String>,
     /// Tag `tables=…`: the group of tables that it reads or writes.
     pub tables: Option<String>,
+    /// Tag `size=…`: what its cost grows with, as a number: months, properties.
+    pub size: Option<u64>,
+    /// Tag `estimate=…`: its own estimate of its work.
+    pub estimate: Option<Duration>,
     /// Tag `repeat`: the client says that it tries again.
     pub repeat: bool,
     /// Session property `query_max_run_time`.
@@ -50,6 +54,10 @@
     Size(&'static str),
     /// No duration as the specification writes them.
     Duration(String),
+    /// Tag `size=` is no whole number of 1 to 10^12.
+    Number(String),
+    /// Tag `estimate=` is no duration over 0.
+    Estimate(String),
 }
 
 impl std::fmt::Display for HeaderError {
@@ -58,6 +66,14 @@
             HeaderError::NoUser => write!(f, "{}: must be set", names::USER),
             HeaderError::Twice(tag) => write!(f, "{}: {tag}= is given twice", names::TAGS),
             HeaderError::Size(tag) => write!(f, "{}: {tag}= must have 1 to 128 bytes", names::TAGS),
+            HeaderError::Number(text) => {
+                write!(f, "{}: size= is {text:?}; a whole number of 1 to 10^12 is wanted", names::TAGS)
+            }
+            HeaderError::Estimate(text) => write!(
+                f,
+                "{}: estimate= is {text:?}; a number over 0 and a unit is wanted, such as 30s",
+                names::TAGS
+            ),
             HeaderError::Duration(text) => write!(
                 f,
                 "{}: {} is {text:?}; a number and one of ns, us, ms, s, m, h, d is wanted, such as 30s",
@@ -98,6 +114,19 @@
         for tag in value.split(',').map(str::trim) {
             self.repeat |= tag == "repeat";
             let Some((name, value)) = tag.split_once('=') else { continue };
+            match name {
+                "size" => {
+                    let parsed = value.parse().ok().filter(|n| (1..=1_000_000_000_000).contains(n));
+                    self.size = Some(parsed.ok_or_else(|| HeaderError::Number(value.into()))?);
+                    continue;
+                }
+                "estimate" => {
+                    let parsed = duration(value).filter(|d| !d.is_zero());
+                    self.estimate = Some(parsed.ok_or_else(|| HeaderError::Estimate(value.into()))?);
+                    continue;
+                }
+                _ => {}
+            }
             let (name, slot) = match name {
                 "class" => ("class", &mut self.class),
                 "tenant" => ("tenant", &mut self.tenant),
@@ -158,6 +187,12 @@
         assert_eq!(read(&[]), Err(HeaderError::NoUser));
         let tags = |value| read(&[("X-Trino-User", "a"), ("X-Trino-Client-Tags", value)]);
         assert_eq!(tags("class=a,class=b"), Err(HeaderError::Twice("class")));
+        for tag in ["size=", "size=0", "size=-1", "size=1.5", "size=x", "size=9999999999999"] {
+            assert_eq!(tags(tag), Err(HeaderError::Number(tag[5..].into())));
+        }
+        assert_eq!(tags("estimate=0s"), Err(HeaderError::Estimate("0s".into())));
+        let told = tags("size=12,estimate=40s").expect("readable");
+        assert_eq!((told.size, told.estimate), (Some(12), Some(Duration::from_secs(40))));
         assert_eq!(tags("key="), Err(HeaderError::Size("key")));
         assert_eq!(tags(&format!("key={}", "x".repeat(129))), Err(HeaderError::Size("key")));
         for text in ["", "5", "s", "-1s", "1..5s", "1x", "99999999d", "1e400s"] {
--- a/crates/statement/src/error.rs
+++ b/crates/statement/src/error.rs
@@ -21,6 +21,8 @@
 pub enum ErrorName {
     /// Refused: it has not run, or running it again changes nothing. Trying again is harmless.
     Refused,
+    /// Refused: a rule ended it at its engine, and nothing of it stands. Trying again is harmless, and will end alike.
+    EndedByRule,
     /// Failed: it may have run, and must be looked up before it is sent again.
     MayHaveRun,
     /// Failed after rows were delivered: the result is cut short.
@@ -34,9 +36,13 @@
 }
 
 impl ErrorName {
+    /// The specification's name of what an administrator ended at an engine.
+    pub const KILLED: &'static str = "ADMINISTRATIVELY_KILLED";
+
     /// All of them, for the documentation and its test.
-    pub const ALL: [ErrorName; 6] = [
+    pub const ALL: [ErrorName; 7] = [
         ErrorName::Refused,
+        ErrorName::EndedByRule,
         ErrorName::MayHaveRun,
         ErrorName::ResultCut,
         ErrorName::RouterRestarted,
@@ -48,6 +54,7 @@
     pub fn name(self) -> &'static str {
         match self {
             ErrorName::Refused => "HOPTILLER_REFUSED",
+            ErrorName::EndedByRule => "HOPTILLER_ENDED_BY_RULE",
             ErrorName::MayHaveRun => "HOPTILLER_MAY_HAVE_RUN",
             ErrorName::ResultCut => "HOPTILLER_RESULT_CUT",
             ErrorName::RouterRestarted => "HOPTILLER_ROUTER_RESTARTED",
@@ -63,6 +70,7 @@
             ErrorName::Abandoned => 0x0001_0006,
             ErrorName::Refused => 0x0002_F001,
             ErrorName::RouterRestarted => 0x0002_F002,
+            ErrorName::EndedByRule => 0x0002_F003,
             ErrorName::MayHaveRun => 0x0100_F001,
             ErrorName::ResultCut => 0x0100_F002,
         }
@@ -73,14 +81,16 @@
         match self {
             ErrorName::UserCanceled => ErrorType::UserError,
             ErrorName::Abandoned => ErrorType::InternalError,
-            ErrorName::Refused | ErrorName::RouterRestarted => ErrorType::InsufficientResources,
+            ErrorName::Refused | ErrorName::RouterRestarted | ErrorName::EndedByRule => {
+                ErrorType::InsufficientResources
+            }
             ErrorName::MayHaveRun | ErrorName::ResultCut => ErrorType::External,
         }
     }
 
     /// Whether the answer promises that trying again is harmless.
     pub fn is_harmless(self) -> bool {
-        matches!(self, ErrorName::Refused | ErrorName::RouterRestarted)
+        matches!(self, ErrorName::Refused | ErrorName::RouterRestarted | ErrorName::EndedByRule)
     }
 }
 
--- a/crates/statement/src/extra.rs
+++ b/crates/statement/src/extra.rs
@@ -3,8 +3,15 @@
 
 /// An engine's load, in its answers: `in_flight=3; memory=0.5; cpu=0.25`.
 pub const LOAD: &str = "X-Hoptiller-Load";
-/// News of a running statement, in answers to polls: `done=0.3` or `spills=40` (MB that it lacks) or `waits=1`.
+/// News of a running statement, in answers to polls: `done=0.3` or `spills=40` (MB that it lacks and spills) or
+/// `lacks=40` (MB that it waits for) or `waits=1` (it stands behind another).
 pub const NOTE: &str = "X-Hoptiller-Note";
+/// Who holds what a running statement waits for, in answers to polls: the holder's name as routers give it with
+/// [`STATEMENT_ID`], its class, and how long it has run: `r1/00017_ab; class=rent-load; age_ms=12000`.
+pub const BEHIND: &str = "X-Hoptiller-Behind";
+/// What an engine says of the effects of a statement that was ended, in the answer to a question for it:
+/// `rolled-back` or `committed`.
+pub const EFFECTS: &str = "X-Hoptiller-Effects";
 /// What a statement needed, in the answer that ends it: `work_ms=250`.
 pub const COST: &str = "X-Hoptiller-Cost";
 /// The terms of an attempt, when it is sent: `priority=3; grant_mb=40; hop=0`.
@@ -37,10 +44,53 @@
     parts.join("; ")
 }
 
+/// What routers call a statement towards engines: no two lives of a router give the same name.
+pub fn statement_name(router: &str, life: &str, number: u64) -> String {
+    format!("{router}/{number:05}_{life}")
+}
+
+/// Who holds what a statement waits for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its class, where told.
+    pub class: Option<&'a str>,
+    /// How long it has run, in ms, where told.
+    pub age_ms: Option<u64>,
+}
+
+/// Reads [`BEHIND`]; none where there is no name.
+pub fn holder(value: &str) -> Option<Holder<'_>> {
+    let mut parts = value.split(';').map(str::trim);
+    let name = parts.next().filter(|n| !n.is_empty() && n.len() <= 128)?;
+    let mut holder = Holder { name, class: None, age_ms: None };
+    for (key, value) in parts.filter_map(|p| p.split_once('=')) {
+        match key {
+            "class" if !value.is_empty() => holder.class = Some(value),
+            "age_ms" => holder.age_ms = value.parse().ok().filter(|ms| *ms < 1 << 40),
+            _ => {}
+        }
+    }
+    Some(holder)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_holder_is_read_as_far_as_it_can_be() {
+        let whole = holder("r1/00017_ab; class=rent-load;age_ms=12000");
+        assert_eq!(
+            whole,
+            Some(Holder { name: "r1/00017_ab", class: Some("rent-load"), age_ms: Some(12_000) })
+        );
+        let some = holder("x; class=; age_ms=-1; y; age_ms=99999999999999999");
+        assert_eq!(some, Some(Holder { name: "x", class: None, age_ms: None }));
+        assert_eq!((holder(""), holder("; class=a"), holder(&"x".repeat(129))), (None, None, None));
+    }
+
     #[test]
     fn what_is_no_number_is_passed_over() {
         let value = "in_flight=3; memory=0.5;cpu=x; =; a; nan=NaN; inf=inf; cpu=1e999";
--- a/crates/statement/src/results.rs
+++ b/crates/statement/src/results.rs
@@ -77,6 +77,12 @@
     /// The most memory that it held, in bytes.
     #[serde(default)]
     pub peak_memory_bytes: u64,
+    /// Bytes that it wrote aside for want of memory.
+    #[serde(default)]
+    pub spilled_bytes: u64,
+    /// Share of its work that is done, in percent, where known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub progress_percentage: Option<f64>,
 }
 
 impl Stats {
@@ -98,6 +104,8 @@
             processed_rows: 0,
             processed_bytes: 0,
             peak_memory_bytes: 0,
+            spilled_bytes: 0,
+            progress_percentage: None,
         }
     }
 }
