A load that stood behind another is not blamed for that time; told ages leave it out

Cause: on five engines (81% of cores busy) nine loads were named that had stood behind a runaway and then held others up: the age that engines told counted from their coming. Change: ages are run time without standing, in stand-ins and the wire's page; the latest start counts; where no age is told, what is known of it here.

--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -498,7 +498,7 @@
             model::Stands::Behind(other) => Stands::Behind(e.held.get(&other).map(|h| Holder {
                 name: self.routers[h.router].names.of(h.id),
                 class: Some(self.plan.statements[self.run.attempts[h.attempt].statement].class),
-                age: Some(self.now - self.run.attempts[h.attempt].began),
+                age: e.model.course(other).map(|c| c.ran),
             })),
         });
         let progress = if stands.is_some() { Progress::Waits } else { Progress::Done(done) };
--- a/crates/runaway/src/interface.rs
+++ b/crates/runaway/src/interface.rs
@@ -123,7 +123,7 @@
     pub name: String,
     /// Its class, where told.
     pub class: Option<usize>,
-    /// How long it has run, where told.
+    /// How long it has run, standing still left out, where told.
     pub age: Option<Micros>,
 }
 
--- a/crates/runaway/src/others.rs
+++ b/crates/runaway/src/others.rs
@@ -34,7 +34,7 @@
             let subject = Subject::Statement(name.clone());
             let ghost = self.named(&name).and_then(|id| self.outs.get(&id).map(|o| (id, o)));
             let (engine, class, since, over) = match (&ghost, self.foreign.get(&name)) {
-                (Some((_, o)), _) => (o.start.engine, Some(o.start.class), o.at, o.over),
+                (Some((_, o)), _) => (o.start.engine, Some(o.start.class), o.at + o.stood, o.over),
                 (None, Some(f)) => {
                     // One that was found keeps its tables away, so that nothing is told of it for a while.
                     if now.saturating_sub(f.told.max(f.away_until)) > UNTOLD {
--- a/crates/runaway/src/watch.rs
+++ b/crates/runaway/src/watch.rs
@@ -218,13 +218,22 @@
         if self.foreign.len() >= FOREIGN && !self.foreign.contains_key(&holder.name) {
             return; // Bounded; those that are known are gone soon.
         }
-        let since = now.saturating_sub(holder.age.unwrap_or(0));
+        // Where its age is not told, it is as old as what is known of it.
+        let since = holder.age.map(|age| now.saturating_sub(age));
         let class = holder.class.filter(|c| *c < self.cfg.classes.len());
         let (groups, over) = Default::default();
-        let fresh =
-            || Foreign { engine, class, since, told: now, over, groups, away_until: 0, away_for: AWAY_FOR };
+        let fresh = || Foreign {
+            engine,
+            class,
+            since: since.unwrap_or(now),
+            told: now,
+            over,
+            groups,
+            away_until: 0,
+            away_for: AWAY_FOR,
+        };
         let f = self.foreign.entry(holder.name.clone()).or_insert_with(fresh);
-        (f.told, f.engine, f.since) = (now, engine, f.since.min(since));
+        (f.told, f.engine, f.since) = (now, engine, since.map_or(f.since, |since| since.max(f.since)));
         f.class = f.class.or(class);
     }
 
--- a/crates/runaway/tests/verdicts.rs
+++ b/crates/runaway/tests/verdicts.rs
@@ -356,6 +356,36 @@
     assert_eq!(w.watch.sizes().2, 0, "and it is forgotten");
 }
 
+#[test]
+fn a_holder_whose_age_is_not_told_is_as_old_as_what_is_known_of_it() {
+    let mut w = World::with_past(NAME_AND_HOLD, 4);
+    let waiting: Vec<u64> = (0..10).map(|_| w.start(LOOKUP, LOOKUP as u64, 2, 250_000.0)).collect();
+    w.running.clear();
+    for _ in 0..15 {
+        waiting.iter().for_each(|id| w.behind(*id, "r2/00009_x"));
+        w.go(1);
+    }
+    assert_eq!(w.runaways(), [("r2/00009_x".to_owned(), Cause::Blocks)]);
+}
+
+#[test]
+fn a_load_that_stood_behind_another_is_not_blamed_for_that_time() {
+    let mut w = World::with_past(NAME_AND_HOLD, 4);
+    let waiting: Vec<u64> = (0..3).map(|_| w.start(LOOKUP, LOOKUP as u64, 2, 250_000.0)).collect();
+    w.running.clear();
+    for second in 0..30u64 {
+        // The first runs away; the second came with it, and runs only from then on.
+        let (name, age) =
+            if second < 27 { ("r2/00001_x", second * S) } else { ("r2/00002_x", (second - 27) * S) };
+        for id in &waiting {
+            let holder = Holder { name: name.into(), class: Some(LOAD), age: Some(age) };
+            w.stands(*id, Stands::Behind(Some(holder)));
+        }
+        w.go(1);
+    }
+    assert_eq!(w.runaways(), [("r2/00001_x".to_owned(), Cause::Blocks)]);
+}
+
 #[test]
 fn tables_stay_away_from_another_routers_runaway_and_come_back_when_it_is_gone() {
     let mut w = World::with_past(NAME_AND_HOLD, 4);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -102,10 +102,9 @@
 struct Session {
     trace: String,
     shape: Shape,
-    /// What its router calls it, its class, and when it came.
+    /// What its router calls it, and its class.
     name: String,
     class: String,
-    came: u64,
     done: bool,
     failed: bool,
     /// It was ended on demand: why.
@@ -394,7 +393,6 @@
         trace,
         name: header(extra::STATEMENT_ID),
         class,
-        came: now,
         killed: None,
         failed: faults.fail || shape.wrong,
         shape,
@@ -483,7 +481,7 @@
             if let Some(Stands::Behind(holder)) = course.stands
                 && let Some(h) = inner.sessions.get(&holder)
             {
-                let age = inner.now().saturating_sub(h.came) / 1000;
+                let age = inner.model.course(holder).map_or(0, |c| c.ran / 1000);
                 answer.headers.push(extra::BEHIND, &format!("{}; class={}; age_ms={age}", h.name, h.class));
             }
         }
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -99,6 +99,8 @@
     whole: f64,
     granted: Option<f64>,
     paused: bool,
+    /// Time for which it moved, in µs.
+    ran: u64,
 }
 
 impl Held {
@@ -122,6 +124,8 @@
     pub done: f64,
     /// Work that it has done, in µs; what it does more for want of memory included.
     pub worked: f64,
+    /// Time for which it has run, standing still left out, in µs.
+    pub ran: u64,
     /// Memory that it has, in MB.
     pub memory: f64,
     /// It does more work for want of memory.
@@ -233,7 +237,8 @@
                 self.warm.pop_front();
             }
         }
-        self.held.insert(id, Held { job, came: now, left, whole: left, granted: None, paused: false });
+        self.held
+            .insert(id, Held { job, came: now, left, whole: left, granted: None, paused: false, ran: 0 });
         self.grant();
         Admission::Taken
     }
@@ -327,6 +332,7 @@
             for (id, rate) in &rates {
                 if let Some(h) = self.held.get_mut(id) {
                     h.left -= rate * step as f64;
+                    h.ran += step;
                 }
             }
             self.now += step;
@@ -384,6 +390,7 @@
         Some(Course {
             done: (1.0 - h.left / whole).clamp(0.0, 1.0),
             worked: (whole - h.left).max(0.0),
+            ran: h.ran,
             memory: h.granted.unwrap_or(0.0),
             spills: h.granted.is_some_and(|g| g < h.job.memory),
             stands: self.why_stands(id, h),
@@ -501,6 +508,7 @@
         assert_eq!(m.course(0).and_then(|c| c.stands), Some(Stands::Paused));
         assert_eq!(m.course(1).and_then(|c| c.stands), Some(Stands::Behind(0)));
         m.pause(200 * S, 0, false);
+        assert_eq!(m.course(0).map(|c| c.ran), Some(S / 2));
         assert_eq!((m.advance(201 * S), m.advance(202 * S)), (vec![0], vec![1]));
     }
 
--- a/crates/statement/src/extra.rs
+++ b/crates/statement/src/extra.rs
@@ -7,7 +7,8 @@
 /// `lacks=40` (MB that it waits for) or `waits=1` (it stands behind another).
 pub const NOTE: &str = "X-Hoptiller-Note";
 /// Who holds what a running statement waits for, in answers to polls: the holder's name as routers give it with
-/// [`STATEMENT_ID`], its class, and how long it has run: `r1/00017_ab; class=rent-load; age_ms=12000`.
+/// [`STATEMENT_ID`], its class, and how long it has run,
+/// standing still left out: `r1/00017_ab; class=rent-load; age_ms=12000`.
 pub const BEHIND: &str = "X-Hoptiller-Behind";
 /// What an engine says of the effects of a statement that was ended, in the answer to a question for it:
 /// `rolled-back` or `committed`.
@@ -56,7 +57,7 @@
     pub name: &'a str,
     /// Its class, where told.
     pub class: Option<&'a str>,
-    /// How long it has run, in ms, where told.
+    /// How long it has run, standing still left out, in ms, where told.
     pub age_ms: Option<u64>,
 }
 
