--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -39,12 +39,14 @@
         let zone = ["hall-a", "hall-b", "hall-c"][usize::from(n % 3)];
         let mut engine = EngineConfig::new(&format!("engine-{n}"), kind, zone);
         engine.discovery = Some(discovery.addr);
+        engine.notes = true;
         running.push(engine.start().map_err(outside("a stand-in engine"))?);
     }
     let mut value = hoptiller_router::settings::evaluate("derby.jsonnet", EXAMPLE)
         .map_err(|p| Failure::Settings(vec![p]))?;
     value["router"]["listen"] = args.http.to_string().into();
     value["router"]["state"] = serde_json::Value::Null;
+    value["router"]["admin"] = "127.0.0.1:0".into();
     value["discovery"]["address"] = discovery.addr.to_string().into();
     let settings = Settings::from_value("derby.jsonnet", &value).map_err(Failure::Settings)?;
     run::block_on(async |spawner| {
@@ -57,6 +59,9 @@
             Timer::after(Duration::from_millis(20)).await;
         }
         println!("ready http://{addr}");
+        if let Some(admin) = service.admin_addr() {
+            eprintln!("What runs away: hoptiller runaways --admin {admin}");
+        }
         eprintln!(
             "{} stand-in engines, classes lookup, report, rent-load (by client tag class=…). Try:\n  \
              curl -s -X POST http://{addr}/v1/statement -H 'X-Trino-User: me' -d 'SELECT 1'\nCtrl-C ends it.",
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -314,3 +314,44 @@
     assert_eq!(program(&["check", "/nowhere/x.jsonnet"]).status.code(), Some(2));
     assert_eq!(program(&["frobnicate"]).status.code(), Some(2));
 }
+
+#[test]
+fn administrators_see_what_runs_away_on_an_address_of_their_own() {
+    let folder = Folder::new("admin");
+    let free =
+        || TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port").to_string();
+    let admin = free();
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/derby.jsonnet");
+    let listen = "listen: '127.0.0.1:0', state: null";
+    let change =
+        format!("(import '{}') + {{ router+: {{ {listen}, admin: '{admin}' }} }}", example.display());
+    let file = folder.write("r1.jsonnet", &change);
+    let router = Process::start(&["route", file.to_str().expect("text")]);
+    let runaways = |args: &[&str]| -> (Option<i32>, String) {
+        let all = [&["runaways", "--admin", &admin], args].concat();
+        let Output { status, stdout, stderr } = Command::new(PROGRAM).args(&all).output().expect("it runs");
+        (status.code(), String::from_utf8_lossy(&[stdout, stderr].concat()).into_owned())
+    };
+    assert_eq!(runaways(&[]), (Some(0), "nothing runs away, and nothing is held\n".to_owned()));
+    let (code, text) = runaways(&["--json"]);
+    let value: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((code, &value["router"], &value["findings"]), (Some(0), &json!("r1"), &json!([])));
+    let (code, text) = runaways(&["--release", "00000000000000ff"]);
+    assert!(code == Some(2) && text.contains("that kind is not held"), "{code:?} {text}");
+    let (code, text) = runaways(&["--release", "../x"]);
+    assert!(code == Some(2) && text.contains("16 hexadecimal digits"), "{code:?} {text}");
+    drop(router);
+    let (code, text) = runaways(&[]);
+    assert!(code == Some(3) && text.contains("is router.admin set there"), "{code:?} {text}");
+}
+
+#[test]
+fn the_study_of_runaways_refuses_settings_that_it_cannot_use() {
+    let folder = Folder::new("study");
+    let run = |args: &[&str]| {
+        Command::new(PROGRAM).args(["experiment", "runaways"]).args(args).output().expect("runs")
+    };
+    let wrong = folder.write("wrong.jsonnet", "{}");
+    let refused = run(&["--settings", wrong.to_str().expect("text")]);
+    assert_eq!(refused.status.code(), Some(2));
+}
--- a/crates/router/tests/runaways.rs
+++ b/crates/router/tests/runaways.rs
@@ -47,7 +47,7 @@
 }
 
 fn patient(mut ask: Ask) -> Ask {
-    ask.patience = Duration::from_secs(25);
+    ask.patience = Duration::from_secs(20);
     ask
 }
 
--- a/examples/derby.jsonnet
+++ b/examples/derby.jsonnet
@@ -3,6 +3,7 @@
 
 {
   router: { name: 'r1', index: 0, of: 1, listen: '127.0.0.1:8080', state: 'state/r1' },
+  // Administrators' own address, for `hoptiller runaways`: router+: { admin: '127.0.0.1:8082' }.
 
   // Machine kinds and their cores; zones.
   kinds: { 'std-8a': 8, 'std-8b': 8 },
