A look gathers what engines show once; runaways are measured over sockets too

Change: samples by engine are gathered once a look. hoptiller-measure runaways: cost of a kind, of a look, of the state; time to find planted ones over sockets, among usual statements of their kind.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,6 +5,7 @@
 mod latency;
 mod load;
 mod polls;
+mod runaways;
 mod site;
 
 use std::process::ExitCode;
@@ -30,6 +31,8 @@
     Latency(latency::Args),
     /// Clients mid-poll on one router: memory, p99 of a poll, time of a round
     Crowd(crowd::Args),
+    /// The watch for runaways: cost of a kind, of a look, of its state; time to find planted ones over sockets
+    Runaways(runaways::Args),
 }
 
 fn main() -> ExitCode {
@@ -37,6 +40,7 @@
         Command::Polls(args) => polls::run(&args),
         Command::Bare(args) => polls::bare(&args),
         Command::Latency(args) => latency::run(&args),
+        Command::Runaways(args) => runaways::run(&args),
         Command::Crowd(args) => crowd::run(&args),
     };
     match done {
--- a/crates/measure/src/site.rs
+++ b/crates/measure/src/site.rs
@@ -26,6 +26,13 @@
     settings: PathBuf,
 }
 
+impl Place {
+    /// The settings that the router starts from.
+    pub fn settings_file(&self) -> PathBuf {
+        self.settings.clone()
+    }
+}
+
 /// A process that is measured; ended with this.
 pub struct Measured {
     pub addr: SocketAddr,
--- a/crates/runaway/src/judge.rs
+++ b/crates/runaway/src/judge.rs
@@ -57,6 +57,7 @@
         for o in self.outs.values_mut() {
             o.held_up = waits.stands(&o.start.name) || o.stands(now).is_some();
         }
+        self.gather_samples(now);
         self.judge_engines(now);
         self.count_long(now, &ids);
         for id in ids {
@@ -231,8 +232,9 @@
         let (memory, e) = (o.news.memory_mb?, expected.memory?);
         let waits =
             |other: &&Out| other.start.engine == o.start.engine && other.stands(now) == Some(&Stands::Memory);
-        let crowd = self.outs.values().filter(waits).count() >= CROWD;
-        (memory > e.bar && crowd && o.stands(now).is_none()).then(|| evidence(Measure::Memory, memory, &e))
+        let far = memory > e.bar && o.stands(now).is_none();
+        (far && self.outs.values().filter(waits).count() >= CROWD)
+            .then(|| evidence(Measure::Memory, memory, &e))
     }
 
     // ---- kinds ----------------------------------------------------------------------------------
--- a/crates/runaway/src/watch.rs
+++ b/crates/runaway/src/watch.rs
@@ -114,6 +114,8 @@
     last_told: Option<Micros>,
     /// By engine and group of tables: the latest start of what ran there as usual. Nothing held it up since.
     passed: BTreeMap<(EngineId, u64), Micros>,
+    /// By engine, what runs there and takes longer than usual; of the last look.
+    samples: BTreeMap<EngineId, Vec<(AttemptId, Sample)>>,
     pub(crate) decisions: Vec<Decision>,
 }
 
@@ -135,6 +137,7 @@
             next_look: 0,
             last_told: None,
             passed: BTreeMap::new(),
+            samples: BTreeMap::new(),
             decisions: Vec::new(),
             cfg,
         }
@@ -486,20 +489,32 @@
 
     /// How slow an engine is, by what ended and runs there, one statement left out.
     pub(crate) fn slowness(&self, now: Micros, engine: EngineId, without: Option<AttemptId>) -> (f64, usize) {
-        let running: Vec<Sample> = self
+        let running: Vec<Sample> = match self.samples.get(&engine) {
+            Some(all) => all.iter().filter(|s| Some(s.0) != without).map(|s| s.1).collect(),
+            None => Vec::new(),
+        };
+        self.paces.slowness(now, engine, &running)
+    }
+
+    /// What runs tells of its engines; gathered once for each look.
+    pub(crate) fn gather_samples(&mut self, now: Micros) {
+        let mut samples: BTreeMap<EngineId, Vec<(AttemptId, Sample)>> = BTreeMap::new();
+        let all = self
             .outs
             .iter()
-            .filter(|(id, o)| o.start.engine == engine && Some(**id) != without && o.gone.is_none())
+            .filter(|(_, o)| o.gone.is_none())
             .filter(|(_, o)| !o.held_up && o.flowing.is_none())
             .filter(|(_, o)| !self.findings.is_runaway(&Subject::Statement(o.start.name.clone())))
             .filter_map(|(id, o)| {
                 let e = self.expected(*id).filter(|e| e.known)?;
                 // Of one that runs, what it has taken is the least that it will.
                 let times = o.moved(now) / e.run.usual.max(1.0);
-                (times >= 2.0).then_some(Sample { kind: o.start.kind, times })
-            })
-            .collect();
-        self.paces.slowness(now, engine, &running)
+                (times >= 2.0).then_some((o.start.engine, *id, Sample { kind: o.start.kind, times }))
+            });
+        for (engine, id, sample) in all {
+            samples.entry(engine).or_default().push((id, sample));
+        }
+        self.samples = samples;
     }
 
     /// Who stands behind whom now.
