A paused report stands still for its time and is then served: shown over sockets

Need: pausing was tested without sockets and in the engine model only. Measured: nine seconds of work with a pause of five are served after 13.5 s or more; one attempt, rules kept.

--- a/crates/router/tests/runaways.rs
+++ b/crates/router/tests/runaways.rs
@@ -241,6 +241,23 @@
     stage.assert_rules_kept();
 }
 
+#[test]
+fn a_paused_report_stands_still_for_its_time_and_is_then_served() {
+    let pausing = |value: &mut Value| {
+        settings(value);
+        value["runaways"] = json!({ "acts": ["name", "pause"], "pause_for": "5s" });
+    };
+    let stage = Stage::with(2, pausing, telling);
+    stage.teach("report", REPORT, 48);
+    let long = patient(stage.ask("report", &report("9s")));
+    let began = std::time::Instant::now();
+    assert_eq!(stage.run(&long).0, Came::Served(300));
+    // Its work takes nine seconds of moving; only a lower bound, so that a slow machine changes nothing.
+    assert!(began.elapsed() >= Duration::from_millis(13_500), "{:?}", began.elapsed());
+    assert_eq!((stage.sent(&long), stage.runaways()["holds"].as_array().map(Vec::len)), (1, Some(0)));
+    stage.assert_rules_kept();
+}
+
 #[test]
 fn one_that_finishes_as_it_is_being_ended_gives_its_rows() {
     let stage = stage_that_ends(2);
