--- a/crates/runaway/src/judge.rs
+++ b/crates/runaway/src/judge.rs
@@ -161,9 +161,7 @@
             blocks: blocks.into_iter().take(BLOCKED).collect(),
             note: "",
         };
-        let mut out = std::mem::take(&mut self.decisions);
-        let news = self.findings.say(found, &mut out);
-        self.decisions = out;
+        let news = self.findings.say(found, &mut self.decisions);
         if news && verdict == Verdict::Runaway {
             self.act(now, id, cause, &circle);
         }
@@ -181,9 +179,7 @@
             (o.end_at, o.resume_at) = (None, o.resume_at);
         }
         if waited {
-            let mut out = std::mem::take(&mut self.decisions);
-            self.findings.clear(now, subject, "it is within its bound", &mut out);
-            self.decisions = out;
+            self.findings.clear(now, subject, "it is within its bound", &mut self.decisions);
             self.uncount(now, id);
         }
     }
@@ -222,9 +218,7 @@
             blocked: 0,
             note: "its engine is done with it; the rows wait for its client",
         };
-        let mut out = std::mem::take(&mut self.decisions);
-        self.findings.say(found, &mut out);
-        self.decisions = out;
+        self.findings.say(found, &mut self.decisions);
     }
 
     /// It takes far more memory than its kind while others there wait for some.
@@ -276,8 +270,7 @@
             blocked: 0,
             note: "all statements of this kind run long since then",
         };
-        let mut out = std::mem::take(&mut self.decisions);
-        self.findings.say(found, &mut out);
+        self.findings.say(found, &mut self.decisions);
         let of_kind: Vec<(AttemptId, Subject)> = self
             .outs
             .iter()
@@ -285,13 +278,12 @@
             .map(|(id, o)| (*id, Subject::Statement(o.start.name.clone())))
             .collect();
         for (id, subject) in of_kind {
-            self.findings.clear(now, &subject, "all of its kind run long", &mut out);
+            self.findings.clear(now, &subject, "all of its kind run long", &mut self.decisions);
             self.uncount(now, id);
             if let Some(o) = self.outs.get_mut(&id) {
                 o.end_at = None;
             }
         }
-        self.decisions = out;
         self.holds.release(kind);
         self.tell_holds();
     }
@@ -306,9 +298,7 @@
             self.book.adopt(kind);
             self.changes.forget(kind);
             self.expect_anew(kind);
-            let mut out = std::mem::take(&mut self.decisions);
-            self.findings.clear(now, &subject, "its new figures are taken as usual", &mut out);
-            self.decisions = out;
+            self.findings.clear(now, &subject, "its new figures are taken as usual", &mut self.decisions);
         }
     }
 
@@ -318,7 +308,6 @@
     fn judge_engines(&mut self, now: Micros) {
         let paces: Vec<(EngineId, (f64, usize))> =
             self.engines.iter().map(|e| (e.engine, self.slowness(now, e.engine, None))).collect();
-        let mut out = std::mem::take(&mut self.decisions);
         for (engine, own) in &paces {
             let subject = Subject::Engine(*engine);
             let others: Vec<(f64, usize)> = paces.iter().filter(|p| p.0 != *engine).map(|p| p.1).collect();
@@ -329,7 +318,7 @@
                     now,
                     &subject,
                     "it is no slower than the others, or others are at fault",
-                    &mut out,
+                    &mut self.decisions,
                 );
                 continue;
             }
@@ -357,7 +346,7 @@
                 blocked: 0,
                 note: "what runs there is not at fault for it",
             };
-            self.findings.say(found, &mut out);
+            self.findings.say(found, &mut self.decisions);
         }
         // Engines that are listed no more.
         let gone: Vec<Subject> = self
@@ -366,8 +355,9 @@
             .map(|f| f.subject.clone())
             .filter(|s| matches!(s, Subject::Engine(e) if !paces.iter().any(|p| p.0 == *e)))
             .collect();
-        gone.iter().for_each(|s| self.findings.clear(now, s, "the engine is not listed any more", &mut out));
-        self.decisions = out;
+        gone.iter().for_each(|s| {
+            self.findings.clear(now, s, "the engine is not listed any more", &mut self.decisions)
+        });
     }
 }
 
--- a/crates/runaway/src/others.rs
+++ b/crates/runaway/src/others.rs
@@ -39,9 +39,12 @@
                     // One that was found keeps its tables away, so that nothing is told of it for a while.
                     if now.saturating_sub(f.told.max(f.away_until)) > UNTOLD {
                         self.foreign.remove(&name);
-                        let mut out = std::mem::take(&mut self.decisions);
-                        self.findings.clear(now, &subject, "nothing stands behind it any more", &mut out);
-                        self.decisions = out;
+                        self.findings.clear(
+                            now,
+                            &subject,
+                            "nothing stands behind it any more",
+                            &mut self.decisions,
+                        );
                         continue;
                     }
                     (f.engine, f.class, f.since, f.over)
@@ -89,9 +92,7 @@
                 },
             };
             let id = ghost.map(|(id, _)| id);
-            let mut out = std::mem::take(&mut self.decisions);
-            let news = self.findings.say(found, &mut out);
-            self.decisions = out;
+            let news = self.findings.say(found, &mut self.decisions);
             if let Some(f) = self.foreign.get_mut(&name) {
                 f.over = Some(since_over);
                 if news && verdict == Verdict::Runaway {
--- a/crates/runaway/src/watch.rs
+++ b/crates/runaway/src/watch.rs
@@ -270,9 +270,7 @@
             End::NeverRan => "it never ran",
             _ => "it has ended, without a result",
         };
-        let mut out = std::mem::take(&mut self.decisions);
-        self.findings.clear(now, &subject, note, &mut out);
-        self.decisions = out;
+        self.findings.clear(now, &subject, note, &mut self.decisions);
     }
 
     /// What a good run teaches.
@@ -363,9 +361,7 @@
             self.holds.over(now, o.start.held_as);
         }
         let subject = Subject::Statement(o.start.name);
-        let mut out = std::mem::take(&mut self.decisions);
-        self.findings.clear(now, &subject, note, &mut out);
-        self.decisions = out;
+        self.findings.clear(now, &subject, note, &mut self.decisions);
     }
 
     fn forget_name(&mut self, name: &str, attempt: AttemptId) {
