A keeper's state with permits is written as pairs: as a JSON map it was written as nothing

Seen: the new process test of a replaced keeper hung; the state that one keeper handed to another never came. Checked: the link (whole, heartbeats passed), the list of keepers (right), then the state's JSON by itself: 'key must be a string'.

At fault: Fleet::holders, a map whose key is a struct, which JSON has no form for, and keeper::disk::json, which turned that error into no bytes (unwrap_or_default). So once a keeper had let go of entries (over 512) with any permit held, its disk held an empty state, and its next start called the file damaged; a keeper that lagged that far got no batch at all.

Changed: holders are written as pairs (older disks, with none, are still read), and what has no form is an error of the disk, which ends the keeper before it says anything. The test of keepers that lag far starts one again with a permit held; without the form it fails, at entry 513.

--- a/crates/agreement/src/fleet.rs
+++ b/crates/agreement/src/fleet.rs
@@ -215,6 +215,7 @@
     past: VecDeque<Head>,
     /// Texts of the last of these, oldest first.
     texts: VecDeque<Version>,
+    #[serde(with = "crate::pairs")]
     holders: BTreeMap<Holder, Held>,
     serial: u64,
 }
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod follower;
 pub mod lists;
 pub mod meet;
+mod pairs;
 pub mod permit;
 pub mod plant;
 mod span;
--- a/crates/keeper/src/disk.rs
+++ b/crates/keeper/src/disk.rs
@@ -79,6 +79,8 @@
     Other(PathBuf, Box<Identity>),
     /// Its checksums or its contents are wrong.
     Damaged(PathBuf, String),
+    /// What is to be written has no form there.
+    Form(PathBuf, String),
 }
 
 impl fmt::Display for DiskError {
@@ -101,6 +103,9 @@
             DiskError::Other(path, who) => {
                 write!(f, "{}: belongs to keeper {} of fleet {:?}", path.display(), who.keeper, who.fleet)
             }
+            DiskError::Form(path, why) => {
+                write!(f, "{}: what is to be written has no form there: {why}", path.display())
+            }
             DiskError::Damaged(path, why) => write!(
                 f,
                 "{}: damaged: {why}. What this keeper had promised is lost: replace the keeper",
@@ -284,6 +289,7 @@
             return Err(DiskError::Full(self.path.clone()));
         }
         let failed = |e: redb::Error| self.of_error(e);
+        let path = &self.path;
         let mut txn = self.db.begin_write().map_err(|e| failed(e.into()))?;
         if !durable {
             txn.set_durability(Durability::None).map_err(|e| failed(e.into()))?;
@@ -296,27 +302,27 @@
             };
             for change in changes {
                 match change {
-                    Change::Promise(b) => put("promise", json(b))?,
-                    Change::AcceptedRound(b) => put("accepted_round", json(b))?,
-                    Change::Decided(n) => put("decided", json(n))?,
-                    Change::Stopsign(s) => put("stopsign", json(s))?,
+                    Change::Promise(b) => put("promise", json(path, b)?)?,
+                    Change::AcceptedRound(b) => put("accepted_round", json(path, b)?)?,
+                    Change::Decided(n) => put("decided", json(path, n)?)?,
+                    Change::Stopsign(s) => put("stopsign", json(path, s)?)?,
                     Change::LetGo(upto, state) => {
-                        put("base", json(upto))?;
-                        put("state", json(state))?;
+                        put("base", json(path, upto)?)?;
+                        put("state", json(path, state)?)?;
                         log.retain_in(..*upto as u64, |_, _| false).map_err(|e| failed(e.into()))?;
                     }
                     Change::Write(from, entries) => {
                         let from = *from as u64;
                         log.retain_in(from.., |_, _| false).map_err(|e| failed(e.into()))?;
                         for (at, entry) in (from..).zip(entries) {
-                            log.insert(at, json(entry).as_slice()).map_err(|e| failed(e.into()))?;
+                            log.insert(at, json(path, entry)?.as_slice()).map_err(|e| failed(e.into()))?;
                         }
                     }
                 }
             }
             if durable {
-                put("step", json(&(*self.step.borrow() + 1)))?;
-                put("peers", json(&*self.peers.borrow()))?;
+                put("step", json(path, &(*self.step.borrow() + 1))?)?;
+                put("peers", json(path, &*self.peers.borrow())?)?;
             }
         }
         txn.commit().map_err(|e| failed(e.into()))?;
@@ -351,9 +357,10 @@
         _ => {}
     }
     let db = Database::create(beside).map_err(|e| of_error(beside, e.into()))?;
+    let identity = json(beside, me)?;
     let written = || -> Result<(), redb::Error> {
         let txn = db.begin_write()?;
-        txn.open_table(META)?.insert("identity", json(me).as_slice())?;
+        txn.open_table(META)?.insert("identity", identity.as_slice())?;
         txn.open_table(LOG)?;
         txn.commit()?;
         Ok(())
@@ -367,7 +374,7 @@
 
 fn begin_life(db: &Database, life: u64) -> Result<(), redb::Error> {
     let txn = db.begin_write()?;
-    txn.open_table(META)?.insert("life", json(&life).as_slice())?;
+    txn.open_table(META)?.insert("life", life.to_string().as_bytes())?;
     txn.commit()?;
     Ok(())
 }
@@ -418,9 +425,10 @@
     })
 }
 
-fn json(value: &impl Serialize) -> Vec<u8> {
-    // Plain data with text keys: it always has a JSON form.
-    serde_json::to_vec(value).unwrap_or_default()
+/// Danger: what has no JSON form, as a map whose keys are no texts, must never be written as nothing: it would be missed
+/// only when the keeper starts again.
+fn json(path: &Path, value: &impl Serialize) -> Result<Vec<u8>, DiskError> {
+    serde_json::to_vec(value).map_err(|e| DiskError::Form(path.to_owned(), e.to_string()))
 }
 
 fn parse<T: DeserializeOwned>(path: &Path, bytes: &[u8]) -> Result<T, DiskError> {
--- a/crates/keeper/tests/simulated.rs
+++ b/crates/keeper/tests/simulated.rs
@@ -278,6 +278,13 @@
     w.start(3);
     w.run(3000);
     assert_eq!(w.cores[&3].fleet(), w.cores[&1].fleet());
+    // The state is on the disk, with who holds a permit.
+    assert!(matches!(w.answer(1, ask("r", 1, 1)), Some(Answer::Granted(_))));
+    for keeper in 1..=3 {
+        w.stop(keeper);
+    }
+    w.start(1);
+    assert_eq!((w.in_force(1), w.cores[&1].fleet().holders().count()), (1, 1));
 }
 
 #[test]
