--- a/crates/agent/src/wire.rs
+++ b/crates/agent/src/wire.rs
@@ -2,6 +2,7 @@
 //! half understand each other.
 
 use hoptiller_agreement::fleet::{Granted, Head, Holder, Number, Put, Refused, Version};
+use hoptiller_agreement::lease::{NotNoted, Offer, Part};
 use hoptiller_agreement::{Difference, Micros};
 use serde::{Deserialize, Serialize};
 
@@ -11,6 +12,10 @@
 pub const GIVE_BACK: &str = "/v1/fleet/give-back";
 /// Waits until there is another version than the caller knows: POST, [`Watch`] to [`Numbers`].
 pub const WATCH: &str = "/v1/fleet/watch";
+/// The holder of a lease notes how far it has come: POST, [`Note`] to [`Noted`].
+pub const NOTE: &str = "/v1/fleet/note";
+/// Who does what for all: GET, `Vec<`[`LeaseStatus`]`>`.
+pub const LEASES: &str = "/v1/fleet/leases";
 /// Who is on which version: GET, [`Status`].
 pub const STATUS: &str = "/v1/fleet/status";
 /// A change is wanted: POST, [`Put`] to [`PutAnswer`].
@@ -23,6 +28,12 @@
 pub const DIFF: &str = "/v1/settings/diff";
 /// Messages among keepers.
 pub const MESSAGES: &str = "/v1/keeper/messages";
+/// A new keeper asks another for the state.
+pub const STATE: &str = "/v1/keeper/state";
+/// A keeper that is behind by a list of keepers is given the state.
+pub const INSTALL: &str = "/v1/keeper/install";
+/// One keeper is to take another's place: POST, to [`Replaced`].
+pub const REPLACE: &str = "/v1/keeper/replace";
 
 /// Bytes of a body at most.
 pub const MOST_BODY: u64 = 32 << 20;
@@ -41,6 +52,39 @@
     pub term: Micros,
     /// See `term`.
     pub drift: u64,
+    /// What it says of leases, where it takes part in them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub offer: Option<Offer>,
+}
+
+/// See [`NOTE`]. It is answered with whether the note was taken, or why not.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Note {
+    /// Who.
+    pub holder: Holder,
+    /// For what.
+    pub part: Part,
+    /// Under which number.
+    pub number: u64,
+    /// The note.
+    pub text: String,
+}
+
+/// The answer to [`NOTE`].
+pub type Noted = Result<(), NotNoted>;
+
+/// A part of a task, as a keeper knows it: [`LEASES`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseStatus {
+    /// Which part.
+    pub part: Part,
+    /// Who holds it, and under which number.
+    pub holder: Option<(Holder, u64)>,
+    /// Until it has run out by this keeper's clock, in ms.
+    pub left_ms: Option<u64>,
+    /// How long the note of its holder is.
+    pub note_bytes: u64,
 }
 
 /// The answer to [`ASK`], where there is one.
@@ -65,6 +109,9 @@
     pub known: Numbers,
     /// How long it waits at most, in ms.
     pub wait_ms: u64,
+    /// Whether changes of who does what for all are news too.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub board: bool,
 }
 
 /// Where a fleet stands.
@@ -75,6 +122,14 @@
     pub in_force: Number,
     /// The last one, in force or on its way.
     pub last: Number,
+    /// Counts changes of who does what for all.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub board: u64,
+}
+
+/// Programs from before there were tasks know nothing of a board.
+fn is_none(count: &u64) -> bool {
+    *count == 0
 }
 
 /// See [`PUT`].
@@ -134,12 +189,26 @@
     pub pending: Vec<Head>,
     /// Who holds a permit.
     pub holders: Vec<HolderStatus>,
+    /// The number of the list of keepers that it goes by, and who is on it.
+    #[serde(default)]
+    pub list: u32,
+    /// See `list`.
+    #[serde(default)]
+    pub keepers: Vec<u64>,
     /// Other keepers, and how long ago each was heard, in ms; `None`: never.
     pub heard_ms_ago: Vec<(u64, Option<u64>)>,
     /// Steps of the log: decided, and how many of these are kept one by one.
     pub log: (u64, u64),
 }
 
+/// The answer to [`REPLACE`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Replaced {
+    /// The number of the list of keepers that holds now.
+    pub list: u32,
+}
+
 /// Why a call is refused, in words.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Problem {
--- a/crates/agreement/src/document.rs
+++ b/crates/agreement/src/document.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::lease::{MOST_LEASES, Task};
 use crate::lists::Roster;
 use crate::meet::{Change, Difference, Meet, settings};
 use crate::span::Span;
@@ -189,6 +190,19 @@
         /// Engines that may be used; none given: what each router finds.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         [Bounded] list: Option<Roster>,
+        /// Tasks that one router does for all, each with the number of parts that are given out one by one.
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        [Done] tasks: BTreeMap<Task, u32>,
+    }
+}
+
+/// Who does a task binds no act on a statement; the one in force says which there are.
+struct Done;
+
+impl crate::meet::Rule<BTreeMap<Task, u32>> for Done {
+    const BINDS: bool = false;
+    fn meet(a: &BTreeMap<Task, u32>, b: &BTreeMap<Task, u32>) -> BTreeMap<Task, u32> {
+        a.iter().filter_map(|(task, n)| b.get(task).map(|m| (*task, *n.min(m)))).collect()
     }
 }
 
@@ -320,6 +334,12 @@
         if self.default_class.as_ref().is_some_and(|c| !self.classes.contains_key(c)) {
             note("default_class".into(), "is no class of this document");
         }
+        if self.tasks.values().map(|n| u64::from(*n)).sum::<u64>() > MOST_LEASES as u64 {
+            note("tasks".into(), "have more than 4096 parts");
+        }
+        if self.tasks.get(&Task::List).is_some_and(|n| *n != 1) || self.tasks.values().any(|n| *n == 0) {
+            note("tasks".into(), "want 1 part or more each, and `list` just one: there is one discovery");
+        }
         for (name, class) in &self.classes {
             self.class_flaws(name, class, &mut note);
         }
--- a/crates/agreement/src/fleet.rs
+++ b/crates/agreement/src/fleet.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::document::{Document, Flaw};
+use crate::lease::{Board, Grant, Leases, NotNoted, Offer, Part};
 use crate::meet::{Change, Difference};
 use crate::plant::{self, Plant};
 
@@ -102,6 +103,9 @@
         heeds: Number,
         /// The version that it holds to be in force; 0: none.
         in_force: Number,
+        /// What it says of leases, where it takes part in them.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        offer: Option<Offer>,
     },
     /// A router gives its permit back: it acts no more.
     GiveBack(Holder),
@@ -113,6 +117,19 @@
         /// Which permits have run out.
         lapsed: Vec<(Holder, u64)>,
     },
+    /// Leases that have run out by the clock of the keeper that says so, each with the count of its last prolonging.
+    Free(Vec<(Part, u64)>),
+    /// The holder of a lease notes how far it has come.
+    Note {
+        /// Who.
+        holder: Holder,
+        /// For what.
+        part: Part,
+        /// Under which number.
+        number: u64,
+        /// The note.
+        text: String,
+    },
 }
 
 /// Why a change is refused.
@@ -176,6 +193,15 @@
     pub heed: Number,
     /// All versions from the one in force to the last, in order; empty where the router said that it has them.
     pub versions: Vec<Version>,
+    /// The count of this prolonging.
+    #[serde(default)]
+    pub serial: u64,
+    /// The router's leases; `None`: nothing is told of them, and none is prolonged.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leases: Option<Vec<Grant>>,
+    /// What is told to all of who does what.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub board: Option<Board>,
 }
 
 /// What an act came to.
@@ -195,6 +221,8 @@
     GivenBack,
     /// Up to this version everything is in force.
     Settled(Number),
+    /// A note is taken, or not.
+    Noted(Result<(), NotNoted>),
 }
 
 /// A permit, as the log knows it.
@@ -218,6 +246,8 @@
     #[serde(with = "crate::pairs")]
     holders: BTreeMap<Holder, Held>,
     serial: u64,
+    #[serde(default)]
+    leases: Leases,
 }
 
 impl Fleet {
@@ -225,11 +255,19 @@
     pub fn apply(&mut self, act: Act) -> Answer {
         match act {
             Act::Put(put) => Answer::Put(self.put(*put)),
-            Act::Ask { holder, heeds, in_force } => self.ask(holder, heeds, in_force),
+            Act::Ask { holder, heeds, in_force, offer } => self.ask(holder, heeds, in_force, offer),
             Act::GiveBack(holder) => {
                 self.holders.remove(&holder);
+                self.leases.gone(&holder);
                 Answer::GivenBack
             }
+            Act::Free(lapsed) => {
+                self.leases.lapsed(&lapsed);
+                Answer::Settled(self.in_force())
+            }
+            Act::Note { holder, part, number, text } => {
+                Answer::Noted(self.leases.note(&holder, &part, number, &text))
+            }
             Act::Settle { upto, lapsed } => self.settle(upto, &lapsed),
         }
     }
@@ -296,7 +334,7 @@
         meet.meet(new).nowhere().into_iter().map(named).collect()
     }
 
-    fn ask(&mut self, holder: Holder, heeds: Number, in_force: Number) -> Answer {
+    fn ask(&mut self, holder: Holder, heeds: Number, in_force: Number, offer: Option<Offer>) -> Answer {
         let last = self.last();
         if heeds > last || in_force > self.in_force() {
             return Answer::Ahead;
@@ -309,12 +347,15 @@
         }
         self.serial += 1;
         let serial = self.serial;
+        let leases = offer.as_ref().and_then(|offer| self.leases.asked(&holder, serial, offer));
+        let board = offer.map(|offer| self.leases.board(offer.board));
         // One that holds no permit acts on nothing until it hears this answer, or a later one.
         let held = self.holders.entry(holder).or_insert(Held { heeds: last, serial });
         *held = Held { heeds: held.heeds.max(heeds), serial };
         let has_them = heeds == last && in_force == self.in_force();
         let versions = if has_them { Vec::new() } else { self.course.iter().cloned().collect() };
-        Answer::Granted(Granted { in_force: self.in_force(), heed: last, versions })
+        let in_force = self.in_force();
+        Answer::Granted(Granted { in_force, heed: last, versions, serial, leases, board })
     }
 
     fn settle(&mut self, upto: Number, lapsed: &[(Holder, u64)]) -> Answer {
@@ -322,6 +363,7 @@
             // Danger: a permit that was prolonged after the keeper judged it is alive.
             if self.holders.get(holder).is_some_and(|held| held.serial == *serial) {
                 self.holders.remove(holder);
+                self.leases.gone(holder);
             }
         }
         let all = self.holders.values().map(|h| h.heeds).min().unwrap_or(Number::MAX);
@@ -332,6 +374,13 @@
 
     /// Brings versions in force, in order, up to one and as far as nothing stands against them.
     fn advance(&mut self, upto: Number, heeded: impl Fn(Number) -> bool) {
+        self.bring_in_force(upto, heeded);
+        if let Some(front) = self.course.front() {
+            self.leases.name(&front.document.tasks);
+        }
+    }
+
+    fn bring_in_force(&mut self, upto: Number, heeded: impl Fn(Number) -> bool) {
         while let Some(next) = self.course.get(1).map(|v| &v.head) {
             let free = next.kind == Change::Neutral || heeded(next.number);
             if next.number > upto || !free {
@@ -394,6 +443,11 @@
         self.holders.get(holder)
     }
 
+    /// Who does what for all.
+    pub fn leases(&self) -> &Leases {
+        &self.leases
+    }
+
     /// Holders that stand against the next change.
     pub fn waits_for(&self) -> impl Iterator<Item = (&Holder, &Held)> {
         let next = self.pending().next().map(|v| v.head.number);
--- a/crates/agreement/src/follower.rs
+++ b/crates/agreement/src/follower.rs
@@ -6,6 +6,7 @@
 use crate::document::{Document, InDoubt};
 use crate::fleet::{Act, Granted, Holder, Number, Version};
 use crate::permit::{Bounds, Micros, Permit};
+use crate::plant::{self, Plant};
 
 /// Questions that may be open at once; the oldest is given up for a further one.
 const MOST_OPEN: usize = 16;
@@ -85,8 +86,9 @@
 impl Follower {
     /// Knows nothing yet, or what an earlier life of this router wrote down; without a permit either way.
     pub fn new(me: Holder, bounds: Bounds, known: Vec<Version>) -> Follower {
+        let life = if plant::is(Plant::EarlierLife) { String::new() } else { me.life };
         let mut follower = Follower {
-            me,
+            me: Holder { life, ..me },
             bounds,
             course: Vec::new(),
             rules: None,
@@ -109,7 +111,7 @@
         self.next += 1;
         let (heeds, in_force) = (self.heeds(), self.in_force());
         self.open.insert(id, Open { at: now, heeds, in_force });
-        (id, Act::Ask { holder: self.me.clone(), heeds, in_force })
+        (id, Act::Ask { holder: self.me.clone(), heeds, in_force, offer: None })
     }
 
     /// A question is counted from another moment: that of its answer is too late, which a planted fault does.
--- a/crates/agreement/src/permit.rs
+++ b/crates/agreement/src/permit.rs
@@ -5,13 +5,14 @@
 use std::collections::BTreeMap;
 
 use crate::fleet::{Fleet, Holder};
+use crate::lease::Part;
 use crate::plant::{self, Plant};
 
 /// Whole microseconds on a clock that goes on while the machine or the process is stopped.
 pub type Micros = u64;
 
 /// How long permits last, and how far clocks may be wrong. The same for all keepers and routers of a fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Bounds {
     /// How long a permit lasts.
     pub term: Micros,
@@ -59,35 +60,75 @@
     }
 }
 
-/// A keeper's times: when it learned of each permit's last prolonging. A keeper that starts learns of all at once, so
-/// it counts a whole term for each, whatever was left.
-#[derive(Clone, Debug, Default)]
-pub struct Terms(BTreeMap<Holder, (u64, Micros)>);
+/// A keeper's times: when it learned of each permit's and each lease's last prolonging. A keeper that starts learns of all
+/// at once, so it counts a whole term for each, whatever was left.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Terms {
+    permits: Learned<Holder>,
+    leases: Learned<Part>,
+}
+
+/// By what was prolonged: the count of its last prolonging, and when that was learned.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Learned<K>(BTreeMap<K, (u64, Micros)>);
+
+impl<K> Default for Learned<K> {
+    fn default() -> Self {
+        Learned(BTreeMap::new())
+    }
+}
+
+impl<K: Ord + Clone> Learned<K> {
+    fn learn(&mut self, now: Micros, all: impl Iterator<Item = (K, u64)>) {
+        let mut known = std::mem::take(&mut self.0);
+        for (key, serial) in all {
+            let at = known.remove(&key).filter(|(s, _)| *s == serial).map_or(now, |(_, at)| at);
+            self.0.insert(key, (serial, at));
+        }
+    }
+
+    fn lapsed(&self, now: Micros, bounds: &Bounds) -> Vec<(K, u64)> {
+        let over = |at: Micros| now.saturating_sub(at) > bounds.keeper_term();
+        self.0.iter().filter(|(_, (_, at))| over(*at)).map(|(k, (serial, _))| (k.clone(), *serial)).collect()
+    }
+
+    fn left(&self, now: Micros, key: &K, bounds: &Bounds) -> Option<Micros> {
+        let (_, at) = self.0.get(key)?;
+        Some(at.saturating_add(bounds.keeper_term()).saturating_sub(now))
+    }
+}
 
 impl Terms {
+    /// Of a keeper that starts, with what its log tells: it knows of no time before.
+    pub fn begin(now: Micros, fleet: &Fleet) -> Terms {
+        let mut terms = Terms::default();
+        terms.learn(if plant::is(Plant::NoTerm) { 0 } else { now }, fleet);
+        terms
+    }
+
     /// Takes up what the log has brought.
     pub fn learn(&mut self, now: Micros, fleet: &Fleet) {
-        self.0.retain(|holder, _| fleet.held(holder).is_some());
-        for (holder, held) in fleet.holders() {
-            match self.0.get_mut(holder) {
-                Some((serial, _)) if *serial == held.serial => {}
-                Some(known) => *known = (held.serial, now),
-                None => {
-                    self.0.insert(holder.clone(), (held.serial, now));
-                }
-            }
-        }
+        self.permits.learn(now, fleet.holders().map(|(holder, held)| (holder.clone(), held.serial)));
+        self.leases.learn(now, fleet.leases().held());
     }
 
     /// Permits that have run out by this clock, each with the count of its last prolonging.
     pub fn lapsed(&self, now: Micros, bounds: &Bounds) -> Vec<(Holder, u64)> {
-        let over = |at: Micros| now.saturating_sub(at) > bounds.keeper_term();
-        self.0.iter().filter(|(_, (_, at))| over(*at)).map(|(h, (serial, _))| (h.clone(), *serial)).collect()
+        self.permits.lapsed(now, bounds)
+    }
+
+    /// Leases that have run out by this clock, each with the count of its last prolonging.
+    pub fn lapsed_leases(&self, now: Micros, bounds: &Bounds) -> Vec<(Part, u64)> {
+        self.leases.lapsed(now, bounds)
     }
 
     /// Time until a permit has run out by this clock.
     pub fn left(&self, now: Micros, holder: &Holder, bounds: &Bounds) -> Option<Micros> {
-        let (_, at) = self.0.get(holder)?;
-        Some(at.saturating_add(bounds.keeper_term()).saturating_sub(now))
+        self.permits.left(now, holder, bounds)
+    }
+
+    /// Time until a lease has run out by this clock.
+    pub fn left_of_lease(&self, now: Micros, part: &Part, bounds: &Bounds) -> Option<Micros> {
+        self.leases.left(now, part, bounds)
     }
 }
--- a/crates/agreement/src/plant.rs
+++ b/crates/agreement/src/plant.rs
@@ -13,15 +13,30 @@
     NoWait = 3,
     /// A keeper that starts again forgets what it had promised, and what was not decided.
     Forgets = 4,
+    /// A keeper that starts counts no term for what others were granted before.
+    NoTerm = 5,
+    /// Numbers of leases do not grow.
+    ForgetsNumbers = 6,
+    /// A router uses its leases up to the last moment, whatever an act takes on its way.
+    NoMargin = 7,
+    /// An act under a lease is not looked at again before it is sent.
+    NotAgain = 8,
+    /// A process takes what was granted to an earlier one of its name for its own.
+    EarlierLife = 9,
 }
 
 impl Plant {
     /// All, by the names under which they are asked for.
-    pub const ALL: [(&str, Plant); 4] = [
+    pub const ALL: [(&str, Plant); 9] = [
         ("from-the-answer", Plant::FromTheAnswer),
         ("never-ends", Plant::NeverEnds),
         ("no-wait", Plant::NoWait),
         ("forgets", Plant::Forgets),
+        ("no-term", Plant::NoTerm),
+        ("forgets-numbers", Plant::ForgetsNumbers),
+        ("no-margin", Plant::NoMargin),
+        ("not-again", Plant::NotAgain),
+        ("earlier-life", Plant::EarlierLife),
     ];
 
     /// The one of that name.
--- a/crates/agreement/tests/course.rs
+++ b/crates/agreement/tests/course.rs
@@ -47,6 +47,12 @@
     }
 }
 
+/// An answer that tells of one version.
+fn granted(n: u64) -> Granted {
+    let (versions, leases, board) = Default::default();
+    Granted { in_force: n, heed: n, versions, serial: 1, leases, board }
+}
+
 fn settle(fleet: &mut Fleet, lapsed: Vec<(Holder, u64)>) -> u64 {
     match fleet.apply(Act::Settle { upto: fleet.last(), lapsed }) {
         Answer::Settled(n) => n,
@@ -193,7 +199,7 @@
     let (id, act) = a.ask(S);
     assert_eq!(old.clone().apply(act), Answer::Ahead);
     let versions: Vec<_> = old.version(1).cloned().into_iter().collect();
-    let told = Granted { in_force: 1, heed: 1, versions };
+    let told = Granted { versions, ..granted(1) };
     assert_eq!(a.granted(id, told), Err(Rejected::WentBack { told: 1, known: 2 }));
     // The same numbers under another text.
     let mut other = Fleet::default();
@@ -203,8 +209,7 @@
     assert_eq!(poll(&mut a, &mut other, 2 * S), Err(Rejected::OtherText(2)));
     assert!(a.in_doubt(BOUNDS.router_term()), "neither answer has prolonged the permit");
     // A text that is not that of its digest.
-    let mut granted =
-        Granted { in_force: 2, heed: 2, versions: vec![fleet.version(2).expect("kept").clone()] };
+    let mut granted = Granted { versions: vec![fleet.version(2).expect("kept").clone()], ..granted(2) };
     granted.versions[0].document.engines.max_attempts = 7;
     let mut b = follower("b");
     let (id, _) = b.ask(0);
--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::leases::{Leases, leases};
 use crate::record::{How, Record};
 
 /// What the rules are here.
@@ -33,6 +34,9 @@
     /// Versions that contradict nothing in the version before them.
     #[serde(default)]
     pub neutral: BTreeSet<u64>,
+    /// A part of a task may be done by nobody for so long, in µs; `None`: not judged.
+    #[serde(default)]
+    pub unheld: Option<u64>,
 }
 
 /// What the rules say of a class.
@@ -57,7 +61,7 @@
 /// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Break {
-    /// Which, 1 to 7; 8: routers act on versions that contradict each other.
+    /// Which, 1 to 7; 8: routers act on versions that contradict each other; 9: two do a task that is one's, or none does.
     pub rule: u8,
     /// What was seen.
     pub what: String,
@@ -100,6 +104,8 @@
     /// The longest overlap of acts under contradicting versions, in µs, and how many acts overlapped; `None` where
     /// nothing was sent under versions.
     pub overlap: Option<(u64, u64)>,
+    /// What was seen of leases; `None` where nothing was done under one.
+    pub leases: Option<Leases>,
 }
 
 impl Verdict {
@@ -145,6 +151,9 @@
     attempts(records, &requests, rules, &mut verdict);
     if let Some(agreement) = &rules.agreement {
         versions(records, agreement, &mut verdict);
+        let mut broken = Vec::new();
+        verdict.leases = leases(records, agreement, |what| broken.push(what));
+        broken.into_iter().for_each(|what| verdict.add(9, what));
     }
     verdict
 }
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -2,7 +2,9 @@
 //! what reached engines, what discovery and engines told routers. Nothing here asks a router.
 
 pub mod judge;
+pub mod leases;
 pub mod record;
 
 pub use judge::{Agreement, Break, Class, Rules, Tally, Verdict, judge};
+pub use leases::Leases;
 pub use record::{How, Record, Recorder, now, read_dir};
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -78,6 +78,8 @@
     },
     /// An engine refused an attempt unseen, as the rules that it was sent under are over.
     Fenced { at: u64, engine: String, router: String, heeds: u64 },
+    /// Discovery or an engine was asked something under a lease, and has answered it or refused it as outdated.
+    Leased { at: u64, resource: String, router: String, part: String, number: u64, refused: bool },
     /// An effect was written to the ledger.
     Posted { at: u64, engine: String, trace: String },
     /// An engine's process began.
@@ -111,6 +113,7 @@
             | Record::Sent { at, .. }
             | Record::Done { at, .. }
             | Record::Fenced { at, .. }
+            | Record::Leased { at, .. }
             | Record::Posted { at, .. }
             | Record::Started { at, .. }
             | Record::Fell { at, .. }
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -245,7 +245,11 @@
         versions: Some(versions),
     };
     let rules = |neutral: &[u64]| Rules {
-        agreement: Some(Agreement { overlap: 1000, neutral: neutral.iter().copied().collect() }),
+        agreement: Some(Agreement {
+            overlap: 1000,
+            neutral: neutral.iter().copied().collect(),
+            unheld: None,
+        }),
         ..rules()
     };
     let broken = |records: &[Record], neutral: &[u64]| {
@@ -272,3 +276,40 @@
     let doubt = [act(2, "r2", (2, 2, false)), act(5002, "r1", (1, 1, true))];
     assert_eq!(broken(&doubt, &[]), (false, Some((0, 0))), "outside the promise, and said so");
 }
+
+fn leased(at: u64, router: &str, number: u64, refused: bool) -> Record {
+    let (resource, router, part) = ("discovery".to_owned(), router.to_owned(), "list/0".to_owned());
+    Record::Leased { at, resource, router, part, number, refused }
+}
+
+#[test]
+fn an_act_under_an_older_lease_and_a_part_done_by_nobody_are_caught() {
+    let agreement = hoptiller_audit::Agreement { overlap: 100, unheld: Some(5_000), ..Default::default() };
+    let rules = Rules { agreement: Some(agreement), ..rules() };
+    let good = [
+        leased(0, "a", 1, false),
+        leased(1_000, "a", 1, false),
+        leased(4_000, "b", 2, false),
+        leased(4_050, "a", 1, false), // within what the records' times may be off
+        leased(6_000, "a", 1, true),  // refused: it had no effect
+        leased(8_000, "b", 2, false),
+    ];
+    let verdict = judge(&good, &rules);
+    assert!(verdict.breaks.is_empty(), "{:?}", verdict.breaks);
+    let leases = verdict.leases.expect("there were some");
+    assert_eq!((leases.acts, leases.refused, leases.numbers, leases.overlaps), (5, 1, 2, 1));
+    assert_eq!((leases.longest_overlap, leases.longest_gap), (50, 3_950));
+    let broken = |more: Record| {
+        let mut all = good.to_vec();
+        all.push(more);
+        let breaks = judge(&all, &rules).breaks;
+        assert!(breaks.iter().all(|b| b.rule == 9), "{breaks:?}");
+        breaks.into_iter().map(|b| b.what).collect::<Vec<_>>().join("; ")
+    };
+    let older = broken(leased(9_000, "a", 1, false));
+    assert!(older.contains("a acted on discovery under number 1, 5 ms after b under 2"), "{older}");
+    let shared = broken(leased(9_000, "c", 2, false));
+    assert!(shared.contains("b and c both acted under number 2"), "{shared}");
+    let unheld = broken(leased(14_000, "b", 2, false));
+    assert!(unheld.contains("nobody did it for 6 ms"), "{unheld}");
+}
--- a/crates/cli/src/commands/fleet.rs
+++ b/crates/cli/src/commands/fleet.rs
@@ -1,10 +1,11 @@
 //! `hoptiller fleet`: who is on which version; and a whole fleet on loopback, with faults between its processes.
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
-use hoptiller_agent::wire::{self, Status};
+use hoptiller_agent::wire::{self, LeaseStatus, Status};
 use hoptiller_agreement::Span;
 use hoptiller_audit::{Agreement, Rules, judge};
 use hoptiller_rig::stage::EnginePlan;
@@ -17,6 +18,10 @@
 pub enum Args {
     /// Shows keepers, versions, and the routers that hold permits
     Status(StatusArgs),
+    /// Shows which router does which part of a fleet-wide task, and until when at least
+    Leases(StatusArgs),
+    /// Puts a new keeper in the place of one that is lost with its disk, while the others go on
+    ReplaceKeeper(ReplaceArgs),
     /// Plays a day with processes of this program on loopback, and faults between them; then judges it
     Run(RunArgs),
 }
@@ -48,6 +53,21 @@
     plant: Option<String>,
 }
 
+#[derive(clap::Args)]
+pub struct ReplaceArgs {
+    #[command(flatten)]
+    keepers: KeeperArgs,
+    /// The keeper that is lost
+    #[arg(long, value_name = "N")]
+    lost: u64,
+    /// The new keeper's number: one that no keeper of this fleet had before
+    #[arg(long, value_name = "N")]
+    new: u64,
+    /// Where the others reach the new keeper; best the address of the lost one, which routers know
+    #[arg(long, value_name = "ADDR")]
+    at: std::net::SocketAddr,
+}
+
 #[derive(clap::Args)]
 pub struct StatusArgs {
     #[command(flatten)]
@@ -60,6 +80,8 @@
 pub fn run(args: &Args) -> Result<ExitCode, Failure> {
     match args {
         Args::Status(args) => status(args),
+        Args::Leases(args) => leases(args),
+        Args::ReplaceKeeper(args) => replace_keeper(args),
         Args::Run(args) => play(args),
     }
 }
@@ -80,6 +102,9 @@
     /// A router's own settings.
     settings: serde_json::Value,
     engines: Vec<WrittenEngine>,
+    /// A part of a fleet-wide task may be done by nobody for so long.
+    #[serde(default)]
+    unheld: Option<Span>,
     day: Day,
 }
 
@@ -143,6 +168,7 @@
         return Err(Failure::Usage(format!("{} is there already", args.report.display())));
     }
     crate::run::raise_descriptors();
+    end_with_signals();
     let program = std::env::current_exe().map_err(outside("this program"))?;
     let layout = Layout {
         keepers: file.keepers,
@@ -182,7 +208,11 @@
         max_attempts: u32::MAX,
         order_pause: 0,
         budget: None,
-        agreement: Some(Agreement { overlap: args.overlap * 1000, neutral: outcome.neutral.clone() }),
+        agreement: Some(Agreement {
+            overlap: args.overlap * 1000,
+            neutral: outcome.neutral.clone(),
+            unheld: file.unheld.map(|span| span.0),
+        }),
     };
     let rules = file.day.rules(rules);
     drop(stage);
@@ -205,6 +235,31 @@
         crate::commands::audit::print(&verdict, false);
         let (longest, acts) = verdict.overlap.unwrap_or_default();
         println!("acts under contradicting versions: {acts}, the longest overlap {} ms", longest / 1000);
+        if let Some(leases) = &verdict.leases {
+            let takeover = |part: f64| {
+                let at = (leases.takeovers.len() as f64 * part) as usize;
+                leases
+                    .takeovers
+                    .get(at.min(leases.takeovers.len().saturating_sub(1)))
+                    .map_or(0, |us| us / 1000)
+            };
+            println!(
+                "acts under leases: {} of {} parts under {} numbers, {} refused as outdated; after a newer one: {}, the \
+                 longest {} ms",
+                leases.acts,
+                leases.parts,
+                leases.numbers,
+                leases.refused,
+                leases.overlaps,
+                leases.longest_overlap / 1000
+            );
+            println!(
+                "a part done by nobody: at a takeover {} ms in the middle, {} ms in 99 of 100, {} ms at most",
+                takeover(0.5),
+                takeover(0.99),
+                leases.longest_gap / 1000
+            );
+        }
         println!(
             "changes: {} taken, {} refused, {} without an answer; in force after {} ms in the middle, {} ms at most",
             outcome.taken,
@@ -221,6 +276,61 @@
     Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// The fleet's processes end with this one, also where it is told to end.
+fn end_with_signals() {
+    std::thread::spawn(|| {
+        if async_io::block_on(crate::run::told_to_end()).is_ok() {
+            hoptiller_rig::process::end_all();
+            std::process::exit(130);
+        }
+    });
+}
+
+fn replace_keeper(args: &ReplaceArgs) -> Result<ExitCode, Failure> {
+    let ask = serde_json::json!({ "lost": args.lost, "new": args.new, "at": args.at });
+    let done: wire::Replaced = args.keepers.open()?.post(wire::REPLACE, &ask)?;
+    println!(
+        "keeper {} has the place of keeper {}: list {} of the keepers holds",
+        args.new, args.lost, done.list
+    );
+    println!("start it on an empty folder with `hoptiller keep --join --config FILE`");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn leases(args: &StatusArgs) -> Result<ExitCode, Failure> {
+    let all: Vec<LeaseStatus> = args.keepers.open()?.get(wire::LEASES)?;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&all).unwrap_or_default());
+    } else {
+        print!("{}", show_leases(&all));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// A line a part, and how many each router has.
+fn show_leases(all: &[LeaseStatus]) -> String {
+    let mut out = String::new();
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for l in all {
+        let line = match &l.holder {
+            None => "nobody; each router does it for itself".to_owned(),
+            Some((holder, number)) => {
+                *counts.entry(holder.to_string()).or_default() += 1;
+                let left = l.left_ms.map_or("?".to_owned(), |ms| ms.to_string());
+                format!("{holder} under number {number}, for {left} ms more, note of {} bytes", l.note_bytes)
+            }
+        };
+        out.push_str(&format!("{:<12} {line}\n", l.part.to_string()));
+    }
+    for (holder, n) in counts {
+        out.push_str(&format!("{holder}: {n} of {}\n", all.len()));
+    }
+    if all.is_empty() {
+        out.push_str("the version in force names no tasks\n");
+    }
+    out
+}
+
 fn status(args: &StatusArgs) -> Result<ExitCode, Failure> {
     let all = args.keepers.open()?.each::<Status>(wire::STATUS);
     if args.json {
@@ -256,9 +366,12 @@
         .iter()
         .map(|(n, ms)| ms.map_or(format!("{n} never"), |ms| format!("{n} {ms} ms ago")))
         .collect();
+    let all: Vec<String> = s.keepers.iter().map(u64::to_string).collect();
     format!(
-        "keeper {} at {at}: leads {leader}, {} steps decided, {} kept, reached {}\n",
+        "keeper {} at {at}: list {} ({}), leads {leader}, {} steps decided, {} kept, reached {}\n",
         s.keeper,
+        s.list,
+        all.join(" "),
         s.log.0,
         s.log.1,
         heard.join(", ")
@@ -305,17 +418,36 @@
         let s = Status {
             keeper: 1,
             leader: None,
-            numbers: Numbers { in_force: 6, last: 7 },
+            numbers: Numbers { in_force: 6, last: 7, board: 0 },
             pending: Vec::new(),
             holders: vec![holder("r1", 7, false), holder("r2", 6, true)],
+            list: 2,
+            keepers: vec![1, 2, 4],
             heard_ms_ago: vec![(2, Some(30)), (3, None)],
             log: (90, 40),
         };
         assert_eq!(waiting_for(&s), "  waits for r2/x1, 4200 ms at most\n");
         let (keeper, fleet) = (show_keeper("here", &s), show_fleet(&s));
-        assert!(keeper.contains("leads nobody") && keeper.contains("2 30 ms ago, 3 never"), "{keeper}");
+        assert!(
+            keeper.contains("list 2 (1 2 4)")
+                && keeper.contains("leads nobody")
+                && keeper.contains("2 30 ms ago, 3 never"),
+            "{keeper}"
+        );
         assert!(fleet.contains("in force 6, last 7"), "{fleet}");
         let lines: Vec<&str> = fleet.lines().filter(|l| l.contains("HOLDS UP")).collect();
         assert!(lines.len() == 1 && lines[0].contains("r2/x1"), "{fleet}");
     }
+
+    #[test]
+    fn a_part_without_a_holder_is_told_so() {
+        let part = |shard| hoptiller_agreement::Part { task: hoptiller_agreement::Task::Probe, shard };
+        let holder = Some((Holder { router: "r1".into(), life: "x1".into() }, 9));
+        let held = LeaseStatus { part: part(0), holder, left_ms: Some(1200), note_bytes: 80 };
+        let free = LeaseStatus { part: part(1), holder: None, left_ms: None, note_bytes: 0 };
+        let told = show_leases(&[held, free]);
+        assert!(told.contains("probe/0      r1/x1 under number 9, for 1200 ms more"), "{told}");
+        assert!(told.contains("probe/1      nobody") && told.contains("r1/x1: 1 of 2"), "{told}");
+        assert!(show_leases(&[]).contains("names no tasks"));
+    }
 }
--- a/crates/cli/src/commands/keep.rs
+++ b/crates/cli/src/commands/keep.rs
@@ -5,6 +5,7 @@
 
 use futures_lite::future;
 use hoptiller_agent::{Clock, Secret};
+use hoptiller_keeper::join::join;
 use hoptiller_keeper::{Config, Keeper, StartError};
 
 use crate::run::{self, Failure};
@@ -15,6 +16,10 @@
     /// The keeper's configuration, in Jsonnet
     #[arg(long, value_name = "FILE")]
     config: PathBuf,
+    /// A new keeper in another's place: it waits until the others have taken it in, and begins with what they know.
+    /// Where it was taken in before, it goes on as any other
+    #[arg(long)]
+    join: bool,
     /// For tests: the clock runs fast by so many millionths (slow, where under 0)
     #[arg(long, hide = true, default_value_t = 0, allow_hyphen_values = true)]
     clock_skew: i64,
@@ -33,7 +38,15 @@
         let outside =
             |e: StartError| Failure::Outside("the keeper can't start".into(), std::io::Error::other(e));
         let (number, fleet) = (config.keeper, config.fleet.clone());
-        let keeper = Keeper::open(config, fleet_secret, clock, &secret::life()).map_err(outside)?;
+        let disk = Keeper::disk(&config, &secret::life()).map_err(outside)?;
+        if args.join {
+            let joined = async { join(&config, &fleet_secret, &disk).await.map(Some).map_err(outside) };
+            let told = async { run::told_to_end().await.map(|()| None) };
+            if future::or(told, joined).await?.is_none() {
+                return Ok(ExitCode::SUCCESS);
+            }
+        }
+        let keeper = Keeper::open(config, fleet_secret, clock, disk).map_err(outside)?;
         let addr = keeper.start(&spawner).map_err(outside)?;
         println!("keeper {number} of {fleet} ready http://{addr}");
         let told = async { run::told_to_end().await.map(|()| None) };
--- a/crates/cli/src/commands/settings.rs
+++ b/crates/cli/src/commands/settings.rs
@@ -183,8 +183,8 @@
 }
 
 fn put(fleet: &Fleet, course: &Course, document: Document, dry_run: bool) -> Result<ExitCode, Failure> {
-    let numbers: wire::Numbers =
-        fleet.post(wire::WATCH, &wire::Watch { known: wire::Numbers::default(), wait_ms: 0 })?;
+    let numbers: wire::Numbers = fleet
+        .post(wire::WATCH, &wire::Watch { known: wire::Numbers::default(), wait_ms: 0, board: false })?;
     if numbers.last > 0 {
         let last = show(fleet, Some(numbers.last))?;
         let differences = last.document.differences(&document);
@@ -216,7 +216,7 @@
     loop {
         let left = until.saturating_duration_since(Instant::now());
         let wait = left.min(WATCH);
-        let ask = wire::Watch { known, wait_ms: wait.as_millis() as u64 };
+        let ask = wire::Watch { known, wait_ms: wait.as_millis() as u64, board: false };
         known = fleet.within(wire::WATCH, &ask, wait + MORE)?;
         if known.in_force >= number {
             println!(
@@ -237,9 +237,9 @@
 fn watch(fleet: &Fleet, until: Option<Number>) -> Result<ExitCode, Failure> {
     let mut known = wire::Numbers::default();
     loop {
-        let ask = wire::Watch { known, wait_ms: WATCH.as_millis() as u64 };
+        let ask = wire::Watch { known, wait_ms: WATCH.as_millis() as u64, board: false };
         let now: wire::Numbers = fleet.within(wire::WATCH, &ask, WATCH + MORE)?;
-        if now != known {
+        if (now.in_force, now.last) != (known.in_force, known.last) {
             println!("in force {}, last {}", now.in_force, now.last);
         }
         known = now;
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -1,178 +1,17 @@
 //! Fleets of processes of the program, with faults between them. What is held against the promise is what engines and
 //! clients recorded: never a router's own word. Times are waited for by what is seen, with bounds far beyond.
 
-use std::path::PathBuf;
+mod night;
+
 use std::process::Command;
 use std::time::{Duration, Instant};
 
 use hoptiller_agent::wire::PutAnswer;
-use hoptiller_agreement::{Document, Refused, Span};
-use hoptiller_audit::{Agreement, Record, Rules, judge};
-use hoptiller_rig::stage::{Between, EnginePlan};
-use hoptiller_rig::{Clients, Crowd, Faults, Layout, Mix, Stage, Way};
-use serde_json::json;
-
-const PERMIT: Duration = Duration::from_secs(2);
-/// Far longer than anything here takes.
-const LONG: Duration = Duration::from_secs(60);
-
-fn program() -> PathBuf {
-    env!("CARGO_BIN_EXE_hoptiller").into()
-}
-
-/// Reports on some kinds, and so many attempts.
-fn document(report_kinds: &[&str], attempts: u32) -> Document {
-    let value = json!({
-        "form": 1, "kinds": { "a": 8, "b": 8 }, "zones": ["x"],
-        "classes": {
-            "lookup": { "aim": "1.5s", "patience": "7.5s", "repeat": "safe" },
-            "report": { "aim": "2s", "patience": "20s", "repeat": "safe", "kinds": report_kinds },
-            "rent-load": { "aim": "3s", "patience": "20s", "repeat": "never", "holds": true },
-        },
-        "default_class": "lookup",
-        "engines": { "max_attempts": attempts },
-        "rules": { "start_capacity": 0.3, "ramp": "4s", "overload": 3, "fall": "2s" },
-    });
-    Document::read(value.to_string().as_bytes()).expect("a good document")
-}
-
-fn settings() -> serde_json::Value {
-    let class =
-        |name: &str, repeat: &str| json!({ "name": name, "aim": "2s", "patience": "20s", "repeat": repeat });
-    json!({
-        "kinds": { "a": 8, "b": 8 }, "zones": ["x"],
-        "classes": [class("lookup", "safe"), class("report", "safe"), class("rent-load", "never")],
-        "default_class": "lookup", "engines": { "max_attempts": 3 },
-        "rules": { "start_capacity": 0.3, "ramp": "4s", "overload": 3, "fall": "2s" },
-        "discovery": { "address": "127.0.0.1:1", "environment": "lettings", "every": "200ms", "state_every": "200ms" },
-    })
-}
-
-/// A stage with its clients.
-struct Night {
-    stage: Stage,
-    crowd: Option<Crowd>,
-    dir: PathBuf,
-}
-
-impl Night {
-    /// Keepers, and routers that heed the first version; clients go on throughout.
-    fn new(name: &str, routers: usize, change: impl FnOnce(&mut Layout)) -> Night {
-        let dir = std::env::temp_dir().join(format!("hoptiller-fleet-{name}-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&dir);
-        let engine =
-            |kind: &str| EnginePlan { kind: kind.into(), zone: "x".into(), speed: 8.0, fences: false };
-        let mut layout = Layout {
-            keepers: 3,
-            routers,
-            engines: ["a", "b", "a", "b"].map(engine).into(),
-            settings: settings(),
-            permit: PERMIT,
-            drift: 1000,
-            router_skews: Vec::new(),
-            keeper_skews: Vec::new(),
-            most_bytes: None,
-            agreement: true,
-        };
-        change(&mut layout);
-        let mut stage = Stage::new(layout, &program(), &dir).expect("set up");
-        stage.start().expect("keepers run");
-        let first = document(&["a"], 3);
-        assert!(
-            stage.until(LONG, |s| matches!(s.put("first", &first), Ok(PutAnswer::Taken(1)))),
-            "the first version"
-        );
-        for router in 0..routers {
-            stage.start_router(router).expect("a router runs");
-        }
-        assert!(stage.until_heeded(routers, 1, LONG), "all heed it");
-        let mix = |class: &str, part, text: &str| Mix {
-            class: class.into(),
-            part,
-            text: text.into(),
-            patience: Span::millis(7500),
-        };
-        let clients = Clients {
-            count: 12,
-            pause: Span::millis(60),
-            mix: vec![
-                mix("lookup", 6, "SELECT 1"),
-                mix("report", 3, "SELECT 2"),
-                mix("rent-load", 1, "INSERT 3"),
-            ],
-        };
-        let crowd = Crowd::start(&clients, 1, &stage.recorder).expect("clients");
-        crowd.reach(stage.running_routers());
-        Night { stage, crowd: Some(crowd), dir }
-    }
-
-    fn put(&mut self, change: &str, document: &Document) -> u64 {
-        let mut number = 0;
-        let taken = self.stage.until(LONG, |s| match s.put(change, document) {
-            Ok(PutAnswer::Taken(n)) => {
-                number = n;
-                true
-            }
-            _ => false,
-        });
-        assert!(taken, "{change} was not taken");
-        number
-    }
-
-    fn reach(&self) {
-        self.crowd.iter().for_each(|c| c.reach(self.stage.running_routers()));
-    }
-
-    /// Acts of a router that engines recorded, with the versions of each.
-    fn acts(&self, router: &str) -> Vec<(u64, u64, bool)> {
-        let all = self.stage.recorder.all().expect("recorded");
-        let of = |r: &Record| match r {
-            Record::Sent { router: by, versions: Some(v), .. } if by == router => Some(*v),
-            _ => None,
-        };
-        all.iter().filter_map(of).collect()
-    }
-
-    /// Waits until engines have recorded an act of a router under these versions, or ones after.
-    fn until_act(&mut self, router: &str, in_force: u64, heeds: u64) -> bool {
-        let (end, mut seen) = (Instant::now() + LONG, false);
-        while !seen && Instant::now() < end {
-            seen = self.acts(router).iter().any(|(f, h, _)| *f >= in_force && *h >= heeds);
-            std::thread::sleep(Duration::from_millis(20));
-        }
-        seen
-    }
-
-    /// Ends the night, and judges it.
-    fn judged(mut self) -> Vec<Record> {
-        self.stage.heal();
-        self.crowd.take().into_iter().for_each(Crowd::finish);
-        let records = self.stage.recorder.all().expect("recorded");
-        let rules = Rules {
-            classes: Default::default(),
-            drain_grace: u64::MAX,
-            max_attempts: 3,
-            order_pause: 0,
-            budget: None,
-            // Engines record what comes when they get to run; acts that overlap overlap for a permit.
-            agreement: Some(Agreement { overlap: 500_000, ..Agreement::default() }),
-        };
-        let verdict = judge(&records, &rules);
-        let broken: Vec<_> = verdict.breaks.iter().take(5).collect();
-        assert!(verdict.breaks.is_empty(), "{} breaks: {broken:?}", verdict.breaks.len());
-        assert!(verdict.overlap.is_some(), "nothing was sent under versions");
-        records
-    }
-}
-
-impl Drop for Night {
-    fn drop(&mut self) {
-        self.crowd.take().into_iter().for_each(Crowd::finish);
-        if !std::thread::panicking() {
-            let _ = std::fs::remove_dir_all(&self.dir);
-        }
-    }
-}
+use hoptiller_agreement::Refused;
+use hoptiller_audit::Record;
+use hoptiller_rig::stage::Between;
+use hoptiller_rig::{Faults, Stage, Way};
+use night::{LONG, Night, document, program};
 
 fn reports_on(records: &[Record], from: u64, heeds: u64) -> Vec<String> {
     let of = |r: &Record| match r {
@@ -385,6 +224,49 @@
     night.judged();
 }
 
+#[test]
+fn a_keeper_that_is_lost_is_replaced_while_routers_are_served() {
+    let mut night = Night::new("replace", 2, |_| {});
+    night.stage.kill_keeper(2);
+    night.stage.save_disk(2).expect("copied");
+    night.stage.lose_disk(2).expect("gone");
+    let new = night.stage.replace_keeper(2).expect("asked").expect("replaced");
+    // Until two know it, the one that does may not be lost: that is not yet one of three. Then any may.
+    let know = |s: &mut Stage| s.statuses().iter().filter(|s| s.list == 2).count();
+    assert!(night.stage.until(LONG, |s| know(s) == 2));
+    night.stage.kill_keeper(0);
+    night.stage.start_keeper(new).expect("it is taken in");
+    let two = night.put("two", &document(&["a", "b"], 3));
+    assert!(night.stage.until_in_force(two, LONG), "the new one and keeper 2 are two of three");
+    assert!(night.until_act("r1", two, two) && night.until_act("r2", two, two));
+    night.stage.start_keeper(0).expect("runs");
+    let lists = |s: &mut Stage| s.statuses().iter().filter(|s| s.list == 2 && s.keepers == [1, 2, 4]).count();
+    assert!(night.stage.until(LONG, |s| lists(s) == 3), "{:?}", night.stage.statuses());
+    // The new one outlives its process, and the old ones are not needed for a change.
+    night.stage.kill_keeper(new);
+    night.stage.start_keeper(new).expect("it goes on from its disk");
+    night.stage.kill_keeper(1);
+    let three = night.put("three", &document(&["a"], 2));
+    assert!(night.stage.until_in_force(three, LONG));
+    night.stage.start_keeper(1).expect("runs");
+    // The lost one comes back after all, with a disk of before: its place is taken.
+    night.stage.restore_disk(2).expect("put back");
+    night.stage.start_keeper(2).expect("starts");
+    let ended = night.stage.keeper(2).expect("there").wait(LONG);
+    assert_eq!(ended.and_then(|e| e.code()), Some(3));
+    let said = night.stage.log_of("keeper-3");
+    assert!(said.contains("taken this one's place"), "{said}");
+    // The new one loses its disk: what it promised is lost with it, and it may not join again.
+    night.stage.kill_keeper(new);
+    night.stage.lose_disk(new).expect("gone");
+    assert!(night.stage.start_keeper(new).is_err());
+    let said = night.stage.log_of("keeper-4");
+    assert!(said.contains("don't take it in"), "{said}");
+    let four = night.put("four", &document(&["a", "b"], 2));
+    assert!(night.stage.until_in_force(four, LONG) && night.until_act("r1", four, four));
+    night.judged();
+}
+
 #[test]
 fn a_change_put_again_at_another_keeper_is_one_and_a_flood_is_refused() {
     let mut night = Night::new("flood", 2, |_| {});
@@ -465,3 +347,48 @@
     assert_eq!(code, Some(0), "{said}");
     assert_eq!(night.stage.numbers().map(|n| n.last), Some(2));
 }
+
+/// Processes that a process has started and that have not ended.
+fn started_by(parent: u32) -> Vec<u32> {
+    let all = std::fs::read_dir("/proc").expect("there").flatten();
+    let numbers = all.filter_map(|e| e.file_name().to_str()?.parse::<u32>().ok());
+    let of_parent = |pid: &u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        // Behind the name, which is in brackets: the state and the parent.
+        let rest: Vec<&str> = stat.rsplit(") ").next().unwrap_or_default().split(' ').collect();
+        rest.first() != Some(&"Z") && rest.get(1) == Some(&parent.to_string().as_str())
+    };
+    numbers.filter(of_parent).collect()
+}
+
+#[test]
+fn a_fleet_that_is_told_to_end_leaves_no_process_behind() {
+    let report = std::env::temp_dir().join(format!("hoptiller-fleet-told-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&report);
+    let day = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/fleet-calm.jsonnet");
+    let mut fleet = Command::new(program())
+        .args(["fleet", "run", day, "--report"])
+        .arg(&report)
+        .stdout(std::process::Stdio::null())
+        .spawn()
+        .expect("it runs");
+    let end = Instant::now() + LONG;
+    let mut all = Vec::new();
+    while all.len() < 4 && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(20));
+        all = started_by(fleet.id());
+    }
+    assert!(all.len() >= 4, "keepers and a router run: {all:?}");
+    let told = rustix::process::Pid::from_raw(fleet.id() as i32).expect("it runs");
+    rustix::process::kill_process(told, rustix::process::Signal::TERM).expect("told");
+    assert_eq!(fleet.wait().expect("ended").code(), Some(130));
+    let gone = |pid: &u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        stat.is_empty() || stat.contains(") Z ")
+    };
+    while !all.iter().all(gone) && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(all.iter().all(gone), "{all:?}");
+    std::fs::remove_dir_all(&report).expect("removed");
+}
--- a/crates/keeper/src/core.rs
+++ b/crates/keeper/src/core.rs
@@ -4,10 +4,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hoptiller_agreement::plant::{self, Plant};
-use hoptiller_agreement::{Act, Answer, Bounds, Fleet, Holder, Micros, Terms};
+use hoptiller_agreement::{Act, Answer, Bounds, Fleet, Holder, Micros, Part, Terms};
+use serde::{Deserialize, Serialize};
 
 use crate::log::{Entry, EntryId, Log, Message};
 use crate::machine::Machine;
+use crate::members::{Members, NotReplaced, Replace};
 
 /// Acts that one entry holds at most.
 const MOST_ACTS: usize = 512;
@@ -30,7 +32,28 @@
     /// To which call.
     pub ticket: Ticket,
     /// What it came to.
-    pub answer: Answer,
+    pub answer: Told,
+}
+
+/// What a call came to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    /// An act of the fleet's.
+    Act(Answer),
+    /// One keeper has taken another's place: the number of the list.
+    Replaced(Result<u32, NotReplaced>),
+}
+
+/// What a keeper needs that is new, or behind by a list of keepers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct State {
+    /// Who the keepers are.
+    pub members: Members,
+    /// Steps of the log that led to it.
+    pub index: usize,
+    /// What they led to.
+    pub machine: Machine,
 }
 
 struct Flight {
@@ -59,6 +82,8 @@
     settling: Option<(EntryId, Micros)>,
     /// Since when nothing stands against the next change.
     free_since: Option<Micros>,
+    /// The log could not go on under another list of keepers.
+    broken: Option<String>,
 }
 
 impl Core {
@@ -80,8 +105,10 @@
             tidied: 0,
             settling: None,
             free_since: None,
+            broken: None,
         };
         core.take_news(now);
+        core.terms = Terms::begin(now, core.machine.fleet());
         core
     }
 
@@ -93,6 +120,30 @@
         ticket
     }
 
+    /// One keeper is to take another's place.
+    pub fn replace(&mut self, now: Micros, replace: Replace) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let id = self.next_id();
+        self.launch(now, id, Entry::Replace(id, replace), vec![ticket]);
+        ticket
+    }
+
+    /// What a keeper needs that is behind.
+    pub fn state(&self) -> State {
+        let members = self.members().clone();
+        State { members, index: self.log.read(), machine: self.machine.clone() }
+    }
+
+    /// Takes up a later list of keepers, with the state that belongs to it. One that is not later changes nothing.
+    pub fn install(&mut self, now: Micros, state: State) {
+        if state.members.number > self.members().number {
+            self.machine = state.machine;
+            self.move_on(now, state.members, state.index);
+            self.terms.learn(now, self.machine.fleet());
+        }
+    }
+
     /// Nobody waits for a call any more; what it came to is not told.
     pub fn forget(&mut self, ticket: Ticket) {
         self.batch.retain(|(t, _)| *t != ticket);
@@ -101,7 +152,7 @@
         }
     }
 
-    /// Messages of another keeper.
+    /// Messages of another keeper, of the same list of keepers: none of another list may be passed on.
     pub fn messages(&mut self, now: Micros, messages: Vec<Message>) {
         for message in messages {
             self.log.handle(message);
@@ -126,6 +177,9 @@
 
     /// Time passes.
     pub fn tick(&mut self, now: Micros) {
+        if self.is_replaced() {
+            return;
+        }
         self.log.tick();
         self.flush(now);
         let again: Vec<EntryId> =
@@ -147,12 +201,31 @@
     }
 
     fn propose(&mut self, now: Micros, tickets: Vec<Ticket>, acts: Vec<Act>) -> EntryId {
-        let id = EntryId { keeper: self.me, life: self.life, number: self.next_entry };
+        let id = self.next_id();
+        self.launch(now, id, Entry::Acts(id, acts), tickets);
+        id
+    }
+
+    fn next_id(&mut self) -> EntryId {
         self.next_entry += 1;
-        let entry = Entry::Acts(id, acts);
+        EntryId { keeper: self.me, life: self.life, number: self.next_entry - 1 }
+    }
+
+    fn launch(&mut self, now: Micros, id: EntryId, entry: Entry, tickets: Vec<Ticket>) {
         self.flights.insert(id, Flight { entry: entry.clone(), tickets, since: now });
         self.log.append(entry);
-        id
+    }
+
+    /// Goes on under another list of keepers. What was proposed under the one before, and not applied, is void there, and
+    /// proposed again.
+    fn move_on(&mut self, now: Micros, members: Members, index: usize) {
+        if let Err(e) = self.log.move_on(members, index, &self.machine) {
+            self.broken = Some(e);
+        }
+        for flight in self.flights.values_mut() {
+            flight.since = now;
+            self.log.append(flight.entry.clone());
+        }
     }
 
     /// Brings changes in force that nothing stands against any more. Any keeper may say so, as each judges by its own
@@ -165,7 +238,7 @@
         let fleet = self.machine.fleet();
         let lapsed = self.terms.lapsed(now, &self.bounds);
         let over: BTreeSet<&Holder> = lapsed.iter().map(|(h, _)| h).collect();
-        let pending = fleet.pending().len() > 0;
+        let (pending, upto) = (fleet.pending().len() > 0, fleet.last());
         let held_up = fleet.waits_for().any(|(h, _)| !over.contains(h)) && !plant::is(Plant::NoWait);
         let free = pending && !held_up;
         let since = if free { *self.free_since.get_or_insert(now) } else { now };
@@ -174,24 +247,46 @@
         }
         let leads = self.log.leader() == Some((self.me, true));
         let tidy = leads && !lapsed.is_empty() && now >= self.tidied + TIDY;
+        let lapsed_leases = self.terms.lapsed_leases(now, &self.bounds);
+        if leads && !lapsed_leases.is_empty() {
+            let id = self.propose(now, Vec::new(), vec![Act::Free(lapsed_leases)]);
+            self.settling = Some((id, now));
+        }
         if (free && (leads || now >= since + OTHERS)) || tidy {
             self.tidied = now;
-            let act = Act::Settle { upto: fleet.last(), lapsed };
+            let act = Act::Settle { upto, lapsed };
             let id = self.propose(now, Vec::new(), vec![act]);
             self.settling = Some((id, now));
         }
     }
 
     fn take_news(&mut self, now: Micros) {
+        if self.is_replaced() {
+            return;
+        }
         let news = self.log.news();
         if news.is_empty() {
             return;
         }
-        for entry in news {
+        for (index, entry) in news {
             match entry {
                 // Acts of ours among those that were not brought one by one have no answer: they are asked again.
                 Entry::State(_, machine) => self.machine = *machine,
                 Entry::Filler => {}
+                Entry::Replace(id, replace) => {
+                    let tickets = self.flights.remove(&id).map(|f| f.tickets).unwrap_or_default();
+                    let next = self.members().replaced(&replace);
+                    let told = Told::Replaced(next.as_ref().map(|m| m.number).map_err(|e| *e));
+                    let answer = |ticket| Answered { ticket, answer: told.clone() };
+                    self.answers.extend(tickets.into_iter().filter(|t| *t != Ticket::MAX).map(answer));
+                    if let Ok(next) = next
+                        && next.number > self.members().number
+                    {
+                        // What is left of these entries was decided under the list that has just ended.
+                        self.move_on(now, next, index);
+                        break;
+                    }
+                }
                 Entry::Acts(id, acts) => {
                     let tickets = self.flights.remove(&id).map(|f| f.tickets).unwrap_or_default();
                     if self.settling.is_some_and(|(settling, _)| settling == id) {
@@ -200,11 +295,15 @@
                     let answers = self.machine.apply(id, acts).unwrap_or_default();
                     let wanted =
                         tickets.into_iter().zip(answers).filter(|(ticket, _)| *ticket != Ticket::MAX);
-                    self.answers.extend(wanted.map(|(ticket, answer)| Answered { ticket, answer }));
+                    self.answers.extend(
+                        wanted.map(|(ticket, answer)| Answered { ticket, answer: Told::Act(answer) }),
+                    );
                 }
             }
         }
-        self.log.tidy(&self.machine);
+        if !self.is_replaced() {
+            self.log.tidy(&self.machine);
+        }
         self.terms.learn(now, self.machine.fleet());
     }
 
@@ -215,7 +314,7 @@
 
     /// Messages to be sent.
     pub fn take_messages(&mut self) -> Vec<Message> {
-        self.log.outgoing()
+        if self.is_replaced() { Vec::new() } else { self.log.outgoing() }
     }
 
     /// The state, as this keeper knows it.
@@ -228,11 +327,31 @@
         self.terms.left(now, holder, &self.bounds)
     }
 
+    /// Time until a lease has run out by this keeper's clock.
+    pub fn left_of_lease(&self, now: Micros, part: &Part) -> Option<Micros> {
+        self.terms.left_of_lease(now, part, &self.bounds)
+    }
+
     /// Who leads.
     pub fn leader(&self) -> Option<u64> {
         self.log.leader().map(|l| l.0)
     }
 
+    /// Who the keepers are.
+    pub fn members(&self) -> &Members {
+        self.log.members()
+    }
+
+    /// Whether another keeper has taken this one's place.
+    pub fn is_replaced(&self) -> bool {
+        !self.members().at.contains_key(&self.me)
+    }
+
+    /// Why it may not go on, where that is so.
+    pub fn broken(&self) -> Option<&str> {
+        self.broken.as_deref()
+    }
+
     /// Steps decided, and kept one by one.
     pub fn sizes(&self) -> (usize, usize) {
         self.log.sizes()
--- a/crates/keeper/src/disk.rs
+++ b/crates/keeper/src/disk.rs
@@ -28,6 +28,7 @@
 use crate::held::{Change, Held};
 use crate::log::{Entry, NoSnapshot};
 use crate::machine::Machine;
+use crate::members::Members;
 
 /// The form of the file.
 const FORM: u32 = 1;
@@ -186,13 +187,14 @@
             bytes.map(|b| parse(path, &b)).transpose()
         }
         let mut held = Held {
-            promise: value(&path, get("promise")?)?,
-            accepted_round: value(&path, get("accepted_round")?)?,
+            promise: value::<Option<_>>(&path, get("promise")?)?.flatten(),
+            accepted_round: value::<Option<_>>(&path, get("accepted_round")?)?.flatten(),
             decided: value(&path, get("decided")?)?.unwrap_or(0),
-            stopsign: value(&path, get("stopsign")?)?,
+            stopsign: value::<Option<_>>(&path, get("stopsign")?)?.flatten(),
             base: value(&path, get("base")?)?.unwrap_or(0),
             state: value(&path, get("state")?)?.unwrap_or_default(),
             log: VecDeque::new(),
+            members: value(&path, get("members")?)?,
         };
         let step = value(&path, get("step")?)?.unwrap_or(0);
         let peers = value(&path, get("peers")?)?.unwrap_or_default();
@@ -256,6 +258,23 @@
         }
     }
 
+    /// Another list of keepers holds, from that index on, where `state` is what all before led to. In one transaction:
+    /// a keeper that crashes is of one list or of the other.
+    pub fn move_on(&self, members: Members, base: usize, state: Machine) {
+        self.0.borrow_mut().step(vec![Change::MoveOn(members, base, state)]);
+    }
+
+    /// Who the keepers are, where the list that the fleet began with no longer holds.
+    pub fn members(&self) -> Option<Members> {
+        self.0.borrow().held.members.clone()
+    }
+
+    /// Whether nothing was ever promised or learned on it.
+    pub fn is_blank(&self) -> bool {
+        let held = &self.0.borrow().held;
+        held.members.is_none() && held.promise.is_none() && held.next() == 0
+    }
+
     /// Entries that are kept one by one.
     pub fn kept(&self) -> usize {
         self.0.borrow().held.log.len()
@@ -311,6 +330,17 @@
                         put("state", json(path, state)?)?;
                         log.retain_in(..*upto as u64, |_, _| false).map_err(|e| failed(e.into()))?;
                     }
+                    Change::MoveOn(members, base, state) => {
+                        put("members", json(path, members)?)?;
+                        put("base", json(path, base)?)?;
+                        put("decided", json(path, base)?)?;
+                        put("state", json(path, state)?)?;
+                        put("stopsign", json(path, &None::<StopSign>)?)?;
+                        for key in ["promise", "accepted_round"] {
+                            put(key, json(path, &None::<Ballot>)?)?;
+                        }
+                        log.retain(|_, _| false).map_err(|e| failed(e.into()))?;
+                    }
                     Change::Write(from, entries) => {
                         let from = *from as u64;
                         log.retain_in(from.., |_, _| false).map_err(|e| failed(e.into()))?;
--- a/crates/keeper/src/held.rs
+++ b/crates/keeper/src/held.rs
@@ -8,6 +8,7 @@
 
 use crate::log::Entry;
 use crate::machine::Machine;
+use crate::members::Members;
 
 /// What is held, in memory as on the disk.
 #[derive(Default)]
@@ -20,6 +21,8 @@
     pub base: usize,
     pub state: Machine,
     pub log: VecDeque<Entry>,
+    /// Who the keepers are; `None`: as the configuration says.
+    pub members: Option<Members>,
 }
 
 /// One change of what is held.
@@ -31,6 +34,8 @@
     /// These entries from that index on, and nothing behind them.
     Write(usize, Vec<Entry>),
     LetGo(usize, Machine),
+    /// Another list of keepers holds, from that index on; what was promised and accepted under the one before is over.
+    MoveOn(Members, usize, Machine),
 }
 
 impl Held {
@@ -74,6 +79,10 @@
                 self.log.drain(..(upto - self.base).min(self.log.len()));
                 (self.base, self.state) = (upto, state);
             }
+            Change::MoveOn(members, base, state) => {
+                let members = Some(members);
+                *self = Held { members, base, state, decided: base, ..Held::default() };
+            }
             Change::Write(from, entries) => {
                 self.log.truncate(from - self.base);
                 self.log.extend(entries);
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -8,12 +8,16 @@
 pub mod core;
 pub mod disk;
 mod held;
+pub mod join;
+mod links;
 pub mod log;
 pub mod machine;
+pub mod members;
 mod peers;
 mod reply;
 pub mod service;
 
 pub use config::{Config, ConfigError};
 pub use disk::DiskError;
+pub use members::Members;
 pub use service::{Ended, Keeper, StartError};
--- a/crates/keeper/src/log.rs
+++ b/crates/keeper/src/log.rs
@@ -10,6 +10,7 @@
 
 use crate::disk::Disk;
 use crate::machine::Machine;
+use crate::members::{Members, Replace};
 
 /// Ticks without a leader's heartbeat until an election.
 const ELECTION_TICKS: u64 = 10;
@@ -35,6 +36,9 @@
     /// Acts that go through the log together, and what tells them apart.
     #[serde(rename = "a")]
     Acts(EntryId, Vec<Act>),
+    /// One keeper takes another's place: what comes behind it, under the same list of keepers, is void.
+    #[serde(rename = "r")]
+    Replace(EntryId, Replace),
     /// In place of entries that are let go, from here up to that index: the state after the last of them.
     #[serde(rename = "s")]
     State(usize, Box<Machine>),
@@ -79,35 +83,55 @@
     }
 }
 
-/// Who takes part.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Members {
-    /// This keeper.
-    pub me: u64,
-    /// All, this one included.
-    pub all: Vec<u64>,
-}
-
 /// One keeper's end of the log.
 pub struct Log {
     inner: OmniPaxos<Entry, Disk>,
     disk: Disk,
+    me: u64,
+    members: Members,
     read: usize,
 }
 
 impl Log {
     /// Takes up where the disk left off.
-    pub fn open(members: &Members, disk: Disk) -> Result<Log, String> {
+    pub fn open(me: u64, first: Members, disk: Disk) -> Result<Log, String> {
+        let members = disk.members().unwrap_or(first);
+        let inner = Log::build(me, &members, &disk)?;
+        Ok(Log { inner, disk, me, members, read: 0 })
+    }
+
+    fn build(me: u64, members: &Members, disk: &Disk) -> Result<OmniPaxos<Entry, Disk>, String> {
         let cluster =
-            ClusterConfig { configuration_id: 1, nodes: members.all.clone(), flexible_quorum: None };
+            ClusterConfig { configuration_id: members.number, nodes: members.all(), flexible_quorum: None };
         let server = ServerConfig {
-            pid: members.me,
+            pid: me,
             election_tick_timeout: ELECTION_TICKS,
             resend_message_tick_timeout: RESEND_TICKS,
             ..ServerConfig::default()
         };
-        let inner = cluster.build_for_server(server, disk.clone()).map_err(|e| e.to_string())?;
-        Ok(Log { inner, disk, read: 0 })
+        cluster.build_for_server(server, disk.clone()).map_err(|e| e.to_string())
+    }
+
+    /// Another list of keepers holds from that index on; `state` is what all before led to. Where this keeper is none of
+    /// them, nothing changes: it has no part in what comes.
+    pub fn move_on(&mut self, members: Members, index: usize, state: &Machine) -> Result<(), String> {
+        if members.at.contains_key(&self.me) {
+            self.disk.move_on(members.clone(), index, state.clone());
+            self.inner = Log::build(self.me, &members, &self.disk)?;
+        }
+        self.read = index;
+        self.members = members;
+        Ok(())
+    }
+
+    /// Who the keepers are.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// The index behind the last entry that was given out.
+    pub fn read(&self) -> usize {
+        self.read
     }
 
     /// Time passes.
@@ -122,7 +146,7 @@
 
     /// Wants an entry in the log. It may get lost: whoever needs it asks again.
     pub fn append(&mut self, entry: Entry) {
-        // Refused only while the members change, which they don't yet.
+        // Refused only where the library's own way of changing members is used, which is not used here.
         let _ = self.inner.append(entry);
     }
 
@@ -138,20 +162,22 @@
         all.into_iter().map(Message).collect()
     }
 
-    /// What was decided since the last call, in order. Behind a state, its fillers are left out.
-    pub fn news(&mut self) -> Vec<Entry> {
+    /// What was decided since the last call, in order, each with the index behind it. Behind a state, its fillers are
+    /// left out.
+    pub fn news(&mut self) -> Vec<(usize, Entry)> {
         let decided = self.inner.get_decided_idx();
         if decided <= self.read {
             return Vec::new();
         }
         let entries = self.inner.read_decided_suffix(self.read).unwrap_or_default();
+        let from = self.read;
         self.read = decided;
-        let decided = |e| match e {
+        let decided = |(at, e)| match e {
             LogEntry::Decided(Entry::Filler) => None,
-            LogEntry::Decided(entry) => Some(entry),
+            LogEntry::Decided(entry) => Some((from + at + 1, entry)),
             _ => None,
         };
-        entries.into_iter().filter_map(decided).collect()
+        entries.into_iter().enumerate().filter_map(decided).collect()
     }
 
     /// Lets go of old entries, once there are many: `state` is what all that was read led to.
--- a/crates/keeper/src/peers.rs
+++ b/crates/keeper/src/peers.rs
@@ -2,11 +2,12 @@
 //! far its sender's disk had come. A keeper whose disk was made anew, or put back from a copy, may have promised what it
 //! no longer knows: the others tell it so, and it ends.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hoptiller_agreement::Bounds;
 use serde::{Deserialize, Serialize};
 
+use crate::core::State;
 use crate::disk::PeerDisk;
 use crate::log::Message;
 
@@ -17,8 +18,10 @@
     pub fleet: String,
     pub from: u64,
     pub to: u64,
-    /// All keepers, as the sender was told.
+    /// All keepers, as the sender knows them, and the number of that list.
     pub members: Vec<u64>,
+    #[serde(default = "first", skip_serializing_if = "is_first")]
+    pub list: u32,
     /// µs and millionths: all must count alike.
     pub term: u64,
     pub drift: u64,
@@ -31,6 +34,33 @@
     pub messages: Vec<Message>,
 }
 
+/// Programs from before lists of keepers had numbers know the first.
+fn first() -> u32 {
+    1
+}
+
+fn is_first(list: &u32) -> bool {
+    *list == 1
+}
+
+/// A new keeper asks for the state.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Join {
+    pub fleet: String,
+    pub keeper: u64,
+    pub disk: String,
+}
+
+/// A keeper that is behind by a list of keepers is brought up.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Install {
+    pub fleet: String,
+    pub to: u64,
+    pub state: State,
+}
+
 /// Why a batch is not taken.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -41,12 +71,17 @@
     OtherDisk { known: String },
     /// The sender's disk has gone back.
     WentBack { step: u64, known: u64 },
+    /// Another keeper has taken the sender's place.
+    Replaced,
+    /// The two know different lists of keepers: the sender's number, and the other's. The one that is ahead tells the
+    /// other.
+    Lists { yours: u32, mine: u32 },
 }
 
 impl NotTaken {
     /// Whether the sender must end.
     pub fn is_final(&self) -> bool {
-        !matches!(self, NotTaken::Unlike(_))
+        !matches!(self, NotTaken::Unlike(_) | NotTaken::Lists { .. })
     }
 }
 
@@ -64,6 +99,13 @@
                 "this keeper's disk has {step} steps, and had {known}: it was put back from a copy. Start a keeper \
                  with a new number in its place"
             ),
+            NotTaken::Replaced => {
+                write!(f, "another keeper has taken this one's place; it is no longer needed")
+            }
+            NotTaken::Lists { yours, mine } => write!(
+                f,
+                "the keepers are known there by list {mine}, here by list {yours}. A new keeper is started with --join"
+            ),
         }
     }
 }
@@ -84,6 +126,9 @@
     pub fleet: String,
     pub me: u64,
     pub members: Vec<u64>,
+    /// The number of that list, and who was on one before it.
+    pub list: u32,
+    pub gone: BTreeSet<u64>,
     pub bounds: Bounds,
 }
 
@@ -105,6 +150,12 @@
         if batch.fleet != told.fleet {
             return unlike(format!("this is fleet {:?}", told.fleet));
         }
+        if told.gone.contains(&batch.from) {
+            return Err(NotTaken::Replaced);
+        }
+        if batch.list != told.list {
+            return Err(NotTaken::Lists { yours: batch.list, mine: told.list });
+        }
         if batch.members != told.members {
             return unlike(format!("the keepers here are {:?}", told.members));
         }
@@ -153,7 +204,8 @@
     use super::*;
 
     fn told() -> Told {
-        Told { fleet: "f".into(), me: 1, members: vec![1, 2, 3], bounds: Bounds { term: 10, drift: 1 } }
+        let (members, gone) = (vec![1, 2, 3], [9].into());
+        Told { fleet: "f".into(), me: 1, members, list: 2, gone, bounds: Bounds { term: 10, drift: 1 } }
     }
 
     fn batch(life: u64, number: u64, step: u64) -> Batch {
@@ -162,6 +214,7 @@
             from: 2,
             to: 1,
             members: vec![1, 2, 3],
+            list: 2,
             term: 10,
             drift: 1,
             life,
@@ -184,6 +237,22 @@
         assert_eq!(take(batch(2, 0, 8)), Ok(Take::AfterLoss), "a new life");
     }
 
+    #[test]
+    fn one_of_another_list_is_told_so_and_one_that_was_replaced_ends() {
+        let (mut incoming, mut disks) = (Incoming::default(), BTreeMap::new());
+        let mut take = |b: Batch| incoming.take(&told(), &mut disks, &b).expect_err("not taken");
+        for list in [1, 3] {
+            let lists = take(Batch { list, ..batch(1, 0, 5) });
+            assert_eq!(lists, NotTaken::Lists { yours: list, mine: 2 });
+            assert!(!lists.is_final());
+        }
+        let replaced = take(Batch { from: 9, list: 1, ..batch(1, 0, 5) });
+        assert!(replaced == NotTaken::Replaced && replaced.is_final());
+        let first = serde_json::to_string(&Batch { list: 1, ..batch(1, 0, 5) }).expect("json");
+        assert!(!first.contains("list"), "as programs before it wrote it: {first}");
+        assert_eq!(serde_json::from_str::<Batch>(&first).expect("read").list, 1);
+    }
+
     #[test]
     fn a_disk_that_went_back_or_is_another_is_refused() {
         let (mut incoming, mut disks) = (Incoming::default(), BTreeMap::new());
--- a/crates/keeper/src/service.rs
+++ b/crates/keeper/src/service.rs
@@ -1,7 +1,7 @@
 //! Owns a keeper's sockets: calls in, messages out to the others, ticks. All that is decided is [`Core`]'s.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,17 +12,18 @@
 use event_listener::Event as Bell;
 use futures_lite::future;
 use hoptiller_agent::{Clock, Secret, wire};
-use hoptiller_agreement::{Act, Answer, Holder, Put};
-use hoptiller_http::client::Connection;
+use hoptiller_agreement::{Act, Holder, Put};
 use hoptiller_http::server::{self, Handler, Reply};
 use hoptiller_http::{Limits, Method, Request, Response, Spawner};
 use serde::de::DeserializeOwned;
 
 use crate::config::Config;
-use crate::core::{Core, Ticket};
-use crate::disk::{Disk, DiskError, Shared};
-use crate::log::{Log, Members, Message};
-use crate::peers::{Batch, Incoming, NotTaken, Take, Told};
+use crate::core::{Core, Ticket, Told as Outcome};
+use crate::disk::{Disk, DiskError, PeerDisk, Shared};
+use crate::links::Link;
+use crate::log::Log;
+use crate::members::{Members, Replace};
+use crate::peers::{Batch, Incoming, Install, Join, NotTaken, Take, Told};
 use crate::reply;
 
 /// Time between two ticks.
@@ -31,12 +32,6 @@
 const DECIDE: Duration = Duration::from_secs(2);
 /// How long a call may wait for another version.
 const WATCH: Duration = Duration::from_secs(30);
-/// Time for a batch to be taken.
-const TAKEN: Duration = Duration::from_secs(1);
-/// Pause after a batch that was not taken.
-const PAUSE: Duration = Duration::from_millis(50);
-/// Messages that wait for a keeper; with more all are dropped, which the log bears.
-const MOST_QUEUED: usize = 4096;
 /// Calls that wait for an answer at once.
 const MOST_WAITING: usize = 8192;
 
@@ -49,6 +44,8 @@
     Log(String),
     /// Its address.
     Listen(SocketAddr, io::Error),
+    /// The others don't take it in.
+    Join(String),
 }
 
 impl std::fmt::Display for StartError {
@@ -57,6 +54,7 @@
             StartError::Disk(e) => write!(f, "{e}"),
             StartError::Log(e) => write!(f, "the log can't be opened: {e}"),
             StartError::Listen(at, e) => write!(f, "can't listen on {at}: {e}"),
+            StartError::Join(why) => write!(f, "the other keepers don't take it in: {why}"),
         }
     }
 }
@@ -70,6 +68,8 @@
     Disk(DiskError),
     /// The others no longer take it for the keeper that it was.
     Disowned(String),
+    /// Its log.
+    Log(String),
 }
 
 impl std::fmt::Display for Ended {
@@ -77,36 +77,24 @@
         match self {
             Ended::Disk(e) => write!(f, "{e}"),
             Ended::Disowned(why) => write!(f, "{why}"),
+            Ended::Log(why) => write!(f, "the log can't go on: {why}"),
         }
     }
 }
 
-struct Link {
-    at: SocketAddr,
-    queue: RefCell<VecDeque<Message>>,
-    /// Something waits.
-    bell: Bell,
-    /// What was queued is lost.
-    lost: Cell<bool>,
-    /// When a batch was last taken, by the clock of permits.
-    heard: Cell<Option<u64>>,
-    /// The last batch had no answer.
-    broken: Cell<bool>,
-}
-
 /// A running keeper.
 pub struct Keeper {
-    config: Config,
-    secret: Secret,
-    clock: Clock,
-    life: u64,
-    disk: String,
-    told: Told,
-    core: RefCell<Core>,
-    shared: Shared,
+    pub(crate) config: Config,
+    pub(crate) secret: Secret,
+    pub(crate) clock: Clock,
+    pub(crate) life: u64,
+    pub(crate) disk: String,
+    pub(crate) told: RefCell<Told>,
+    pub(crate) core: RefCell<Core>,
+    pub(crate) shared: Shared,
     incoming: RefCell<Incoming>,
-    waiting: RefCell<BTreeMap<Ticket, Sender<Answer>>>,
-    links: BTreeMap<u64, Link>,
+    waiting: RefCell<BTreeMap<Ticket, Sender<Outcome>>>,
+    links: RefCell<BTreeMap<u64, Rc<Link>>>,
     numbers: Cell<wire::Numbers>,
     /// Rung when there is another version, or another is in force.
     changed: Bell,
@@ -115,27 +103,23 @@
 }
 
 impl Keeper {
-    /// Opens the disk and the log. `fresh` names a disk that is made anew.
-    pub fn open(config: Config, secret: Secret, clock: Clock, fresh: &str) -> Result<Rc<Keeper>, StartError> {
+    /// The disk of a configuration. `fresh` names one that is made anew.
+    pub fn disk(config: &Config, fresh: &str) -> Result<Disk, StartError> {
+        let opened = Disk::open(&config.dir, &config.fleet, config.keeper, fresh, config.most_bytes);
+        opened.map_err(StartError::Disk)
+    }
+
+    /// Opens the log on its disk.
+    pub fn open(config: Config, secret: Secret, clock: Clock, disk: Disk) -> Result<Rc<Keeper>, StartError> {
         let me = config.keeper;
-        let disk =
-            Disk::open(&config.dir, &config.fleet, me, fresh, config.most_bytes).map_err(StartError::Disk)?;
         let (shared, life, name) = (disk.shared(), disk.life(), disk.identity().disk.clone());
-        let all: Vec<u64> = config.keepers.keys().copied().collect();
-        let log = Log::open(&Members { me, all: all.clone() }, disk).map_err(StartError::Log)?;
+        let first = Members::first(config.keepers.clone());
+        let log = Log::open(me, first, disk).map_err(StartError::Log)?;
         let bounds = config.bounds();
         let core = Core::new(me, life, bounds, log, clock.now());
-        let link = |at| Link {
-            at,
-            queue: RefCell::default(),
-            bell: Bell::new(),
-            lost: Cell::new(false),
-            heard: Cell::new(None),
-            broken: Cell::new(false),
-        };
         Ok(Rc::new(Keeper {
-            links: config.others().map(|(n, at)| (n, link(at))).collect(),
-            told: Told { fleet: config.fleet.clone(), me, members: all, bounds },
+            links: RefCell::default(),
+            told: RefCell::new(told(&config, core.members())),
             numbers: Cell::new(reply::numbers(core.fleet())),
             core: RefCell::new(core),
             config,
@@ -168,12 +152,10 @@
         ex.spawn(async move {
             let _ = server::serve(listener, config, handler, own).await;
         });
-        for to in self.links.keys().copied() {
-            ex.spawn(self.clone().send_to(to));
-        }
-        let me = self.clone();
+        let (me, own) = (self.clone(), ex.clone());
         ex.spawn(async move {
             loop {
+                me.follow_members(&own);
                 Timer::after(TICK).await;
                 me.drive(|core, now| core.tick(now));
             }
@@ -181,6 +163,28 @@
         Ok(addr)
     }
 
+    /// A way to each other keeper, and to nobody else.
+    fn follow_members(self: &Rc<Self>, ex: &Spawner) {
+        let core = self.core.borrow();
+        let others = || core.members().at.iter().filter(|(n, _)| **n != self.config.keeper);
+        let mut links = self.links.borrow_mut();
+        links.retain(|n, link| {
+            let stays = others().any(|(other, _)| other == n);
+            if !stays {
+                link.end();
+            }
+            stays
+        });
+        for (n, agreed) in others() {
+            if !links.contains_key(n) {
+                // Its own file says best how it reaches another.
+                let link = Link::new(*self.config.keepers.get(n).unwrap_or(agreed));
+                links.insert(*n, link.clone());
+                ex.spawn(self.clone().send_to(*n, link));
+            }
+        }
+    }
+
     /// Returns when the keeper may not go on.
     pub async fn over(&self) -> Ended {
         loop {
@@ -192,14 +196,18 @@
         }
     }
 
-    fn end(&self, why: Ended) {
+    pub(crate) fn has_ended(&self) -> bool {
+        self.ended.borrow().is_some()
+    }
+
+    pub(crate) fn end(&self, why: Ended) {
         self.ended.borrow_mut().get_or_insert(why);
         self.over.notify(usize::MAX);
     }
 
     /// Lets the core do something, and carries out what comes of it. Nothing leaves after a failure of the disk.
-    fn drive<T>(&self, act: impl FnOnce(&mut Core, u64) -> T) -> Option<T> {
-        if self.ended.borrow().is_some() {
+    pub(crate) fn drive<T>(&self, act: impl FnOnce(&mut Core, u64) -> T) -> Option<T> {
+        if self.has_ended() {
             return None;
         }
         let mut core = self.core.borrow_mut();
@@ -209,21 +217,31 @@
             self.end(Ended::Disk(e));
             return None;
         }
+        if let Some(why) = core.broken() {
+            self.end(Ended::Log(why.to_owned()));
+            return None;
+        }
         let mut waiting = self.waiting.borrow_mut();
         for answered in answers {
             if let Some(tell) = waiting.remove(&answered.ticket) {
                 let _ = tell.try_send(answered.answer);
             }
         }
+        if core.members().number != self.told.borrow().list {
+            *self.told.borrow_mut() = told(&self.config, core.members());
+            tracing::info!(list = core.members().number, keepers = ?core.members().all(), "keepers");
+            // Danger: what comes later of the old list's messages is void, and so is what was to be sent of them.
+            self.links.borrow().values().for_each(|link| link.clear());
+        }
+        if core.is_replaced() {
+            self.end(Ended::Disowned(NotTaken::Replaced.to_string()));
+            return None;
+        }
+        let links = self.links.borrow();
         for message in messages {
-            let Some(link) = self.links.get(&message.to()) else { continue };
-            let mut queue = link.queue.borrow_mut();
-            if queue.len() >= MOST_QUEUED {
-                queue.clear();
-                link.lost.set(true);
+            if let Some(link) = links.get(&message.to()) {
+                link.push(message);
             }
-            queue.push_back(message);
-            link.bell.notify(1);
         }
         let numbers = reply::numbers(core.fleet());
         if self.numbers.replace(numbers) != numbers {
@@ -239,7 +257,7 @@
         if self.secret.check(&request).is_err() {
             return reply::problem(401, "the call is not signed with this fleet's secret");
         }
-        if self.ended.borrow().is_some() {
+        if self.has_ended() {
             return reply::problem(503, "this keeper is ending");
         }
         let answer = self.routed(&request).await;
@@ -257,11 +275,31 @@
                 Err(bad) => bad,
             },
             (Method::Post, wire::GIVE_BACK) => match read::<Holder>(request) {
-                Ok(holder) => self.decide(Act::GiveBack(holder)).await,
+                Ok(holder) => self.act(Act::GiveBack(holder)).await,
                 Err(bad) => bad,
             },
+            (Method::Post, wire::NOTE) => match read::<wire::Note>(request) {
+                Ok(n) => {
+                    let wire::Note { holder, part, number, text } = n;
+                    self.act(Act::Note { holder, part, number, text }).await
+                }
+                Err(bad) => bad,
+            },
+            (Method::Get, wire::LEASES) => reply::good(&reply::leases(&self.core.borrow(), self.clock.now())),
             (Method::Post, wire::PUT) => match read::<Put>(request) {
-                Ok(put) => self.decide(Act::Put(Box::new(put))).await,
+                Ok(put) => self.act(Act::Put(Box::new(put))).await,
+                Err(bad) => bad,
+            },
+            (Method::Post, wire::REPLACE) => match read::<Replace>(request) {
+                Ok(replace) => self.decide(|core, now| core.replace(now, replace)).await,
+                Err(bad) => bad,
+            },
+            (Method::Post, wire::STATE) => match read::<Join>(request) {
+                Ok(join) => self.take_in(&join),
+                Err(bad) => bad,
+            },
+            (Method::Post, wire::INSTALL) => match read::<Install>(request) {
+                Ok(install) => self.install(install),
                 Err(bad) => bad,
             },
             (Method::Post, wire::WATCH) => match read::<wire::Watch>(request) {
@@ -296,18 +334,18 @@
             }
             (Method::Get, wire::STATUS) => {
                 let now = self.clock.now();
-                let heard = self
-                    .links
-                    .iter()
-                    .map(|(n, l)| (*n, l.heard.get().map(|at| now.saturating_sub(at) / 1000)));
-                reply::good(&reply::status(self.told.me, &self.core.borrow(), now, heard.collect()))
+                let links = self.links.borrow();
+                let heard =
+                    links.iter().map(|(n, l)| (*n, l.heard.get().map(|at| now.saturating_sub(at) / 1000)));
+                let me = self.config.keeper;
+                reply::good(&reply::status(me, &self.core.borrow(), now, heard.collect()))
             }
             _ => reply::problem(404, "no such call"),
         }
     }
 
     async fn ask(&self, ask: wire::Ask) -> Response {
-        let bounds = self.told.bounds;
+        let bounds = self.config.bounds();
         if (ask.term, ask.drift) != (bounds.term, bounds.drift) {
             let what =
                 format!("permits last {} us here, drift {}: set the router alike", bounds.term, bounds.drift);
@@ -317,16 +355,21 @@
         if !named(&ask.holder.router) || !named(&ask.holder.life) {
             return reply::problem(400, "names of 1 to 128 bytes are wanted");
         }
-        self.decide(Act::Ask { holder: ask.holder, heeds: ask.heeds, in_force: ask.in_force }).await
+        let wire::Ask { holder, heeds, in_force, offer, .. } = ask;
+        self.act(Act::Ask { holder, heeds, in_force, offer }).await
     }
 
-    /// Has an act go through the log, and answers with what it came to.
-    async fn decide(&self, act: Act) -> Response {
+    async fn act(&self, act: Act) -> Response {
+        self.decide(|core, _| core.call(act)).await
+    }
+
+    /// Has something go through the log, and answers with what it came to.
+    async fn decide(&self, call: impl FnOnce(&mut Core, u64) -> Ticket) -> Response {
         if self.waiting.borrow().len() >= MOST_WAITING {
             return reply::problem(503, "too many calls wait already");
         }
         let (tell, told) = async_channel::bounded(1);
-        let Some(ticket) = self.drive(|core, _| core.call(act)) else {
+        let Some(ticket) = self.drive(call) else {
             return reply::problem(503, "this keeper is ending");
         };
         self.waiting.borrow_mut().insert(ticket, tell);
@@ -338,7 +381,7 @@
         .await;
         drop(forget);
         match answer {
-            Some(answer) => reply::of_answer(answer),
+            Some(told) => reply::of_told(told),
             None => {
                 reply::problem(503, "no more than half of the keepers reach each other; it may still be done")
             }
@@ -349,7 +392,11 @@
         let waits = async {
             loop {
                 let changed = self.changed.listen();
-                if self.numbers.get() != watch.known {
+                let mut now = self.numbers.get();
+                if !watch.board {
+                    now.board = watch.known.board;
+                }
+                if now != watch.known {
                     return;
                 }
                 changed.await;
@@ -367,10 +414,12 @@
     fn batch(&self, batch: Batch) -> Response {
         // Danger: of links that carry one way only, two keepers in turn take the lead from each other for ever, as one
         // hears what the other can't answer. Such a link is taken for broken both ways.
-        if self.links.get(&batch.from).is_some_and(|l| l.broken.get()) {
+        if self.links.borrow().get(&batch.from).is_some_and(|l| l.broken.get()) {
             return reply::problem(503, "this keeper does not reach that one");
         }
-        let taken = self.incoming.borrow_mut().take(&self.told, &mut self.shared.peers.borrow_mut(), &batch);
+        let (told, mut disks) = (self.told.borrow(), self.shared.peers.borrow_mut());
+        let taken = self.incoming.borrow_mut().take(&told, &mut disks, &batch);
+        drop((told, disks));
         match taken {
             Ok(Take::Nothing) => reply::good(&()),
             Ok(take) => {
@@ -384,120 +433,47 @@
                 reply::good(&())
             }
             Err(why) => {
-                tracing::warn!(keeper = batch.from, %why, "a keeper's messages are not taken");
-                match serde_json::to_vec(&why) {
-                    Ok(body) => Response::json(409, body),
-                    Err(e) => reply::problem(500, &e.to_string()),
+                if !matches!(why, NotTaken::Lists { .. }) {
+                    tracing::warn!(keeper = batch.from, %why, "a keeper's messages are not taken");
                 }
+                not_taken(&why)
             }
         }
     }
 
-    /// Sends to one keeper for ever, a batch at a time.
-    async fn send_to(self: Rc<Self>, to: u64) {
-        let Some(link) = self.links.get(&to) else { return };
-        let mut connection: Option<Connection<_>> = None;
-        let mut number = 0;
-        let mut broken = false;
-        loop {
-            let bell = link.bell.listen();
-            if link.queue.borrow().is_empty() {
-                bell.await;
-            }
-            if self.ended.borrow().is_some() {
-                return;
-            }
-            let messages: Vec<Message> = link.queue.borrow_mut().drain(..).collect();
-            let batch = self.compose(to, number, messages);
-            number += 1;
-            match self.send(link.at, &mut connection, &batch).await {
-                Ok(Ok(())) => {
-                    link.broken.set(false);
-                    link.heard.set(Some(self.clock.now()));
-                    if std::mem::take(&mut broken) | link.lost.take() {
-                        self.drive(|core, _| core.reconnected(to));
-                    }
-                }
-                Ok(Err(not_taken)) if not_taken.is_final() => {
-                    return self.end(Ended::Disowned(format!("keeper {to} says: {not_taken}")));
-                }
-                Ok(Err(not_taken)) => {
-                    tracing::error!(keeper = to, why = %not_taken, "the other keeper was told otherwise");
-                    Timer::after(Duration::from_secs(1)).await;
-                }
-                Err(why) => {
-                    if !broken {
-                        tracing::warn!(keeper = to, %why, "the link is broken");
-                    }
-                    broken = true;
-                    // Where the other one answers that it does not reach this one, this way is whole.
-                    link.broken.set(matches!(why, Untaken::NoAnswer(_)));
-                    connection = None;
-                    Timer::after(PAUSE).await;
-                }
-            }
+    /// A new keeper asks for the state.
+    fn take_in(&self, join: &Join) -> Response {
+        let core = self.core.borrow();
+        if join.fleet != self.config.fleet {
+            return reply::problem(409, &format!("this is fleet {:?}", self.config.fleet));
         }
-    }
-
-    fn compose(&self, to: u64, number: u64, messages: Vec<Message>) -> Batch {
-        Batch {
-            fleet: self.told.fleet.clone(),
-            from: self.told.me,
-            to,
-            members: self.told.members.clone(),
-            term: self.told.bounds.term,
-            drift: self.told.bounds.drift,
-            life: self.life,
-            number,
-            disk: self.disk.clone(),
-            step: *self.shared.step.borrow(),
-            messages,
+        if core.members().gone.contains(&join.keeper) {
+            return reply::problem(409, &NotTaken::Replaced.to_string());
         }
-    }
-
-    /// Sends one batch. The inner `Err`: the two were told different things, or this one's disk is refused.
-    async fn send(
-        &self,
-        at: SocketAddr,
-        connection: &mut Option<Connection<async_io::Async<std::net::TcpStream>>>,
-        batch: &Batch,
-    ) -> Result<Result<(), NotTaken>, Untaken> {
-        let no_answer = |e: &dyn std::fmt::Display| Untaken::NoAnswer(e.to_string());
-        let mut request = Request::new(Method::Post, wire::MESSAGES);
-        request.body = serde_json::to_vec(batch).map_err(|e| no_answer(&e))?;
-        let request = self.secret.sign(request);
-        let kept = connection.take().filter(|c| c.is_reusable() && !c.is_stale());
-        let mut c = match kept {
-            Some(kept) => kept,
-            None => Connection::open(at, TAKEN, Limits::default()).await.map_err(|e| no_answer(&e))?,
-        };
-        let answer = c.exchange(&request, TAKEN).await.map_err(|e| no_answer(&e))?;
-        if self.secret.check_answer(&request, &answer).is_err() {
-            return Err(Untaken::Refused(format!("status {}: not the fleet's", answer.status.0)));
+        if !core.members().at.contains_key(&join.keeper) {
+            let what = format!("keeper {} is none of list {}", join.keeper, core.members().number);
+            return reply::problem(503, &what);
         }
-        *connection = Some(c);
-        let refused = |why: String| Err(Untaken::Refused(why));
-        match answer.status.0 {
-            200 => Ok(Ok(())),
-            409 => serde_json::from_slice(&answer.body).map(Err).or_else(|e| refused(e.to_string())),
-            status => refused(format!("status {status}")),
+        // Danger: one that was taken in before, and has lost its disk since, may have promised what it no longer knows.
+        let mut disks = self.shared.peers.borrow_mut();
+        let fresh = || PeerDisk { disk: join.disk.clone(), step: 0 };
+        let known = disks.entry(join.keeper).or_insert_with(fresh);
+        if known.disk != join.disk {
+            return reply::problem(409, &NotTaken::OtherDisk { known: known.disk.clone() }.to_string());
         }
+        reply::good(&core.state())
     }
-}
 
-/// Why a batch was not taken, as far as can be told.
-enum Untaken {
-    /// No answer: nobody knows whether it came.
-    NoAnswer(String),
-    /// The other keeper answered, and did not take it.
-    Refused(String),
-}
-
-impl std::fmt::Display for Untaken {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Untaken::NoAnswer(why) | Untaken::Refused(why) => write!(f, "{why}"),
+    /// This keeper is behind by a list of keepers, and another brings it up.
+    fn install(&self, install: Install) -> Response {
+        if install.fleet != self.config.fleet || install.to != self.config.keeper {
+            return not_taken(&NotTaken::Unlike(format!("this is keeper {}", self.config.keeper)));
         }
+        if !install.state.members.at.contains_key(&self.config.keeper) {
+            return not_taken(&NotTaken::Unlike("that list does not name this keeper".into()));
+        }
+        self.drive(|core, now| core.install(now, install.state));
+        reply::good(&())
     }
 }
 
@@ -515,6 +491,25 @@
     }
 }
 
+/// What a keeper tells others of itself.
+fn told(config: &Config, members: &Members) -> Told {
+    Told {
+        fleet: config.fleet.clone(),
+        me: config.keeper,
+        members: members.all(),
+        list: members.number,
+        gone: members.gone.clone(),
+        bounds: config.bounds(),
+    }
+}
+
+fn not_taken(why: &NotTaken) -> Response {
+    match serde_json::to_vec(why) {
+        Ok(body) => Response::json(409, body),
+        Err(e) => reply::problem(500, &e.to_string()),
+    }
+}
+
 fn read<T: DeserializeOwned>(request: &Request) -> Result<T, Response> {
     serde_json::from_slice(&request.body).map_err(|e| reply::problem(400, &e.to_string()))
 }
--- a/crates/keeper/tests/simulated.rs
+++ b/crates/keeper/tests/simulated.rs
@@ -5,9 +5,10 @@
 use std::path::PathBuf;
 
 use hoptiller_agreement::{Act, Answer, Bounds, Document, Holder, Micros, Put, Refused};
-use hoptiller_keeper::core::{Core, Ticket};
+use hoptiller_keeper::core::{Core, State, Ticket, Told};
 use hoptiller_keeper::disk::Disk;
-use hoptiller_keeper::log::{Log, Members, Message};
+use hoptiller_keeper::log::{Log, Message};
+use hoptiller_keeper::members::{Members, NotReplaced, Replace};
 
 const MS: Micros = 1000;
 const BOUNDS: Bounds = Bounds { term: 2000 * MS, drift: 1000 };
@@ -25,14 +26,15 @@
     dir: PathBuf,
     now: Micros,
     cores: BTreeMap<u64, Core>,
-    /// Messages that are on their way, with when they arrive.
-    flying: Vec<(Micros, Message)>,
+    /// Messages that are on their way, with when they arrive and the number of their sender's list of keepers.
+    flying: Vec<(Micros, u32, Message)>,
     /// Links that carry nothing, one way.
     cut: Vec<(u64, u64)>,
     /// One message in so many is lost; 0: none.
     lose: u64,
     dice: Dice,
     answers: BTreeMap<(u64, Ticket), Answer>,
+    replaced: BTreeMap<(u64, Ticket), Result<u32, NotReplaced>>,
 }
 
 fn document(attempts: u32) -> Document {
@@ -57,7 +59,11 @@
 }
 
 fn ask(router: &str, heeds: u64, in_force: u64) -> Act {
-    Act::Ask { holder: Holder { router: router.into(), life: "1".into() }, heeds, in_force }
+    Act::Ask { holder: Holder { router: router.into(), life: "1".into() }, heeds, in_force, offer: None }
+}
+
+fn members() -> Members {
+    Members::first((1..=3).map(|n| (n, ([127, 0, 0, 1], n as u16).into())).collect())
 }
 
 impl World {
@@ -73,6 +79,7 @@
             lose: 0,
             dice: Dice(seed),
             answers: BTreeMap::new(),
+            replaced: BTreeMap::new(),
         };
         for keeper in 1..=3 {
             world.start(keeper);
@@ -80,22 +87,70 @@
         world
     }
 
+    fn disk(&self, keeper: u64) -> Disk {
+        Disk::open(&self.dir.join(keeper.to_string()), "f", keeper, "d", 1 << 30).expect("opened")
+    }
+
     fn start(&mut self, keeper: u64) {
-        let dir = self.dir.join(keeper.to_string());
-        let disk = Disk::open(&dir, "f", keeper, "d", 1 << 30).expect("opened");
+        self.start_on(keeper, self.disk(keeper));
+    }
+
+    /// A new keeper begins with what another hands over; false where none can.
+    fn join(&mut self, keeper: u64) -> bool {
+        let hands = |c: &&Core| !c.is_replaced() && c.members().at.contains_key(&keeper);
+        let Some(State { members, index, machine }) = self.cores.values().find(hands).map(Core::state) else {
+            return false;
+        };
+        let disk = self.disk(keeper);
+        disk.move_on(members, index, machine);
+        self.start_on(keeper, disk);
+        true
+    }
+
+    fn start_on(&mut self, keeper: u64, disk: Disk) {
         let life = disk.life();
-        let log = Log::open(&Members { me: keeper, all: vec![1, 2, 3] }, disk).expect("opened");
+        let log = Log::open(keeper, members(), disk).expect("opened");
         self.cores.insert(keeper, Core::new(keeper, life, BOUNDS, log, self.now));
         // What was sent to the process before is lost, and the others notice the broken links.
-        self.flying.retain(|(_, m)| m.to() != keeper && m.from() != keeper);
-        for (other, core) in &mut self.cores {
-            if *other != keeper {
-                core.reconnected(keeper);
+        self.flying.retain(|(_, _, m)| m.to() != keeper && m.from() != keeper);
+        let others: Vec<u64> = self.cores.keys().copied().filter(|o| *o != keeper).collect();
+        for other in others {
+            self.cores.get_mut(&other).expect("there").reconnected(keeper);
+            self.cores.get_mut(&keeper).expect("there").reconnected(other);
+        }
+    }
+
+    /// A message arrives, as the sockets' side passes it on: only under one list of keepers.
+    fn arrive(&mut self, list: u32, message: Message) {
+        let (from, now) = (message.from(), self.now);
+        let Some(core) = self.cores.get_mut(&message.to()) else { return };
+        match list.cmp(&core.members().number) {
+            std::cmp::Ordering::Equal => core.messages(now, vec![message]),
+            std::cmp::Ordering::Less if core.members().gone.contains(&from) => self.stop(from),
+            std::cmp::Ordering::Less => {}
+            std::cmp::Ordering::Greater => {
+                let state = self.cores.get(&from).map(Core::state);
+                let to = self.cores.get_mut(&message.to());
+                to.into_iter().zip(state).for_each(|(to, state)| to.install(now, state));
             }
         }
-        for other in (1..=3).filter(|o| *o != keeper) {
-            self.cores.get_mut(&keeper).expect("there").reconnected(other);
+    }
+
+    fn replace(&mut self, keeper: u64, lost: u64, new: u64) -> Ticket {
+        let now = self.now;
+        let at = ([127, 0, 0, 1], 9).into();
+        self.cores.get_mut(&keeper).expect("running").replace(now, Replace { lost, new, at })
+    }
+
+    /// Runs until a replacing is answered.
+    fn replaced(&mut self, keeper: u64, ticket: Ticket) -> Option<Result<u32, NotReplaced>> {
+        for _ in 0..1000 {
+            self.step();
+            if let Some(answer) = self.replaced.remove(&(keeper, ticket)) {
+                return Some(answer);
+            }
         }
+        None
     }
 
     fn stop(&mut self, keeper: u64) {
@@ -106,12 +161,10 @@
         self.now += 10 * MS;
         let now = self.now;
         let (due, rest): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.flying).into_iter().partition(|(at, _)| *at <= now);
+            std::mem::take(&mut self.flying).into_iter().partition(|(at, ..)| *at <= now);
         self.flying = rest;
-        for (_, message) in due {
-            if let Some(core) = self.cores.get_mut(&message.to()) {
-                core.messages(now, vec![message]);
-            }
+        for (_, list, message) in due {
+            self.arrive(list, message);
         }
         for core in self.cores.values_mut() {
             core.tick(now);
@@ -119,15 +172,20 @@
         let mut sent = Vec::new();
         for (keeper, core) in &mut self.cores {
             for answered in core.take_answers() {
-                self.answers.insert((*keeper, answered.ticket), answered.answer);
+                let call = (*keeper, answered.ticket);
+                match answered.answer {
+                    Told::Act(answer) => drop(self.answers.insert(call, answer)),
+                    Told::Replaced(list) => drop(self.replaced.insert(call, list)),
+                }
             }
-            sent.extend(core.take_messages());
+            let list = core.members().number;
+            sent.extend(core.take_messages().into_iter().map(|m| (list, m)));
         }
-        for message in sent {
+        for (list, message) in sent {
             let link = (message.from(), message.to());
             let lost = self.lose > 0 && self.dice.below(self.lose) == 0;
             if !self.cut.contains(&link) && !lost {
-                self.flying.push((now + 2 * MS, message));
+                self.flying.push((now + 2 * MS, list, message));
             } else if lost && self.dice.below(3) == 0 {
                 // A link that loses is noticed in the end, as a broken connection is.
                 if let Some(core) = self.cores.get_mut(&link.1) {
@@ -306,30 +364,59 @@
 
 #[test]
 fn random_faults_lose_no_answered_change_and_keepers_agree() {
+    random_faults("random", false);
+}
+
+#[test]
+fn random_faults_with_keepers_replaced_lose_no_answered_change() {
+    random_faults("replacing", true);
+}
+
+fn random_faults(name: &str, replacing: bool) {
     for seed in 0..6 {
-        let mut w = World::new(&format!("random{seed}"), 100 + seed);
+        let mut w = World::new(&format!("{name}{seed}"), 100 + seed);
+        // Who the keepers are, and who is to take whose place.
+        let (mut keepers, mut change): (Vec<u64>, Option<(u64, u64)>) = (vec![1, 2, 3], None);
+        let mut lists = 1;
         let mut taken: BTreeMap<u64, u32> = BTreeMap::new();
         let mut open: Vec<(u64, Ticket, u32)> = Vec::new();
         for round in 0..400u32 {
             match w.dice.below(12) {
                 0 => w.lose = [0, 20, 5][w.dice.below(3) as usize],
                 1 => {
-                    let (a, b) = (1 + w.dice.below(3), 1 + w.dice.below(3));
-                    w.cut.push((a, b));
+                    let (a, b) = (w.dice.below(3) as usize, w.dice.below(3) as usize);
+                    w.cut.push((keepers[a], keepers[b]));
                 }
                 2 | 3 => w.cut.clear(),
-                4 if w.cores.len() == 3 => {
-                    let k = 1 + w.dice.below(3);
+                4 if change.is_none() && keepers.iter().all(|k| w.cores.contains_key(k)) => {
+                    let k = keepers[w.dice.below(3) as usize];
                     w.stop(k);
                     open.retain(|(keeper, ..)| *keeper != k);
+                    if replacing && w.dice.below(2) == 0 {
+                        change = Some((k, keepers.iter().max().expect("three") + 1));
+                    }
                 }
-                5 | 6 => {
-                    if let Some(k) = (1..=3).find(|k| !w.cores.contains_key(k)) {
+                5 | 6 if change.is_none() => {
+                    if let Some(k) = keepers.iter().copied().find(|k| !w.cores.contains_key(k)) {
                         w.start(k);
                     }
                 }
+                // Asked for again and again at any keeper, as an administrator would who hears nothing.
+                9 | 10 => {
+                    if let Some((lost, new)) = change {
+                        let k = keepers[w.dice.below(3) as usize];
+                        if w.cores.contains_key(&k) {
+                            w.replace(k, lost, new);
+                        }
+                        if w.join(new) {
+                            keepers.retain(|k| *k != lost);
+                            keepers.push(new);
+                            (change, lists) = (None, lists + 1);
+                        }
+                    }
+                }
                 7 | 8 => {
-                    let k = 1 + w.dice.below(3);
+                    let k = keepers[w.dice.below(3) as usize];
                     if w.cores.contains_key(&k) {
                         let ticket = w.call(k, put(&format!("{seed}-{round}"), 1 + round));
                         open.push((k, ticket, 1 + round));
@@ -350,12 +437,15 @@
         }
         w.lose = 0;
         w.cut.clear();
-        for k in 1..=3 {
+        // One whose place is taken by none: it was not lost after all.
+        for k in keepers {
             if !w.cores.contains_key(&k) {
                 w.start(k);
             }
         }
         w.run(8000);
+        assert_eq!(replacing, lists > 2, "seed {seed}: {lists} lists of keepers");
+        w.cores.retain(|_, core| !core.is_replaced());
         assert!(taken.len() > 5, "seed {seed}: only {} changes", taken.len());
         let fleets: Vec<_> = w.cores.values().map(|c| c.fleet().clone()).collect();
         assert!(fleets.windows(2).all(|f| f[0] == f[1]), "seed {seed}: keepers differ");
@@ -368,3 +458,61 @@
         }
     }
 }
+
+#[test]
+fn a_lost_keeper_is_replaced_and_the_new_one_counts() {
+    let mut w = World::new("lost", 8);
+    assert_eq!(w.answer(1, put("one", 3)), Some(Answer::Put(Ok(1))));
+    w.stop(3);
+    std::fs::remove_dir_all(w.dir.join("3")).expect("lost");
+    assert!(!w.join(4), "nobody has taken it in");
+    // What is on its way when the list of keepers changes is not lost with the list.
+    let before = w.call(1, put("two", 2));
+    let ticket = w.replace(2, 3, 4);
+    let beside = w.call(2, put("three", 1));
+    assert_eq!(w.replaced(2, ticket), Some(Ok(2)));
+    assert!(w.join(4));
+    w.run(2000);
+    assert!(matches!(w.answers.remove(&(1, before)), Some(Answer::Put(Ok(2 | 3)))));
+    assert!(matches!(w.answers.remove(&(2, beside)), Some(Answer::Put(Ok(2 | 3)))));
+    w.stop(1);
+    assert_eq!(
+        w.answer(4, put("four", 4)),
+        Some(Answer::Put(Ok(4))),
+        "with the new one they are two of three"
+    );
+    w.run(500);
+    w.start(1);
+    w.run(3000);
+    assert_eq!(w.cores[&1].fleet(), w.cores[&4].fleet());
+    assert_eq!(w.cores[&1].members().all(), [1, 2, 4]);
+    let again = w.replace(4, 3, 4);
+    assert_eq!(w.replaced(4, again), Some(Ok(2)), "asked for twice, done once");
+    let unknown = w.replace(4, 3, 5);
+    assert_eq!(w.replaced(4, unknown), Some(Err(NotReplaced::Unknown(3))));
+}
+
+#[test]
+fn whenever_a_keeper_ends_while_another_is_replaced_the_rest_goes_on() {
+    for steps in 0..24 {
+        let mut w = World::new(&format!("when{steps}"), 9);
+        assert_eq!(w.answer(1, put("one", 3)), Some(Answer::Put(Ok(1))));
+        w.cut = vec![(3, 1), (3, 2), (1, 3), (2, 3)];
+        w.replace(2, 3, 4);
+        (0..steps).for_each(|_| w.step());
+        w.stop(1);
+        w.run(300);
+        w.start(1);
+        w.run(2500);
+        assert!(w.join(4), "after {steps} steps");
+        w.run(1000);
+        w.stop(2);
+        assert_eq!(w.answer(1, put("two", 2)), Some(Answer::Put(Ok(2))), "after {steps} steps");
+        w.start(2);
+        // The one in whose place another stands has heard nothing of it, and may do nothing more.
+        w.cut.clear();
+        w.run(2500);
+        assert!(!w.cores.contains_key(&3), "after {steps} steps");
+        assert_eq!(w.cores[&2].fleet(), w.cores[&4].fleet(), "after {steps} steps");
+    }
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,7 @@
 //! loopback only.
 
 mod crowd;
+mod keepers;
 mod latency;
 mod load;
 mod polls;
@@ -31,6 +32,8 @@
     Latency(latency::Args),
     /// Clients mid-poll on one router: memory, p99 of a poll, time of a round
     Crowd(crowd::Args),
+    /// Keepers with many routers: cores, links, time until a change is heeded; their start with many versions
+    Keepers(keepers::Args),
     /// The watch for runaways: cost of a kind, of a look, of its state; time to find planted ones over sockets
     Runaways(runaways::Args),
 }
@@ -41,6 +44,7 @@
         Command::Bare(args) => polls::bare(&args),
         Command::Latency(args) => latency::run(&args),
         Command::Runaways(args) => runaways::run(&args),
+        Command::Keepers(args) => keepers::run(&args),
         Command::Crowd(args) => crowd::run(&args),
     };
     match done {
--- a/crates/rig/src/link.rs
+++ b/crates/rig/src/link.rs
@@ -45,6 +45,8 @@
 struct Shared {
     faults: Faults,
     target: Option<SocketAddr>,
+    /// Bytes that have passed, both ways.
+    carried: u64,
 }
 
 /// A link.
@@ -90,6 +92,11 @@
         }
     }
 
+    /// Bytes that have passed so far, both ways.
+    pub fn carried(&self) -> u64 {
+        self.shared.lock().map(|s| s.carried).unwrap_or_default()
+    }
+
     /// How it fails from now on. Resets are not taken back.
     pub fn fail(&self, faults: Faults) {
         if let Ok(mut shared) = self.shared.lock() {
@@ -152,6 +159,9 @@
                 }
                 to.write_all(&bytes[..part]).await?;
                 passed += part as u64;
+                if let Ok(mut shared) = shared.lock() {
+                    shared.carried += part as u64;
+                }
                 bytes = &bytes[part..];
                 if bytes.is_empty() {
                     break;
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::mpsc;
+use std::sync::{Mutex, mpsc};
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -14,6 +14,33 @@
 /// How long a process may take until it is ready: long, as machines may be loaded.
 const READY: Duration = Duration::from_secs(30);
 
+/// Processes that run, and whether no more may be started: signals end this process without unwinding.
+static RUNNING: Mutex<(Vec<Pid>, bool)> = Mutex::new((Vec::new(), false));
+
+/// Ends all that was started, for a process that is told to end; nothing more is started.
+pub fn end_all() {
+    let Ok(mut running) = RUNNING.lock() else { return };
+    running.1 = true;
+    for pid in running.0.drain(..) {
+        let _ = kill_process(pid, Signal::KILL);
+    }
+}
+
+/// Starts a process under the lock, so that none escapes [`end_all`].
+fn spawn(command: &mut Command) -> io::Result<Child> {
+    let mut running = RUNNING.lock().map_err(|_| io::Error::other("a thread has panicked"))?;
+    if running.1 {
+        return Err(io::Error::other("told to end"));
+    }
+    let child = command.spawn()?;
+    running.0.extend(pid(&child));
+    Ok(child)
+}
+
+fn pid(child: &Child) -> Option<Pid> {
+    i32::try_from(child.id()).ok().and_then(Pid::from_raw)
+}
+
 /// A process.
 pub struct Process {
     name: String,
@@ -31,13 +58,10 @@
         log: &Path,
     ) -> io::Result<Process> {
         let log = File::options().create(true).append(true).open(log)?;
-        let mut child = Command::new(program)
-            .args(args)
-            .envs(env.iter().map(|(k, v)| (k, v)))
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::from(log))
-            .spawn()?;
+        let mut command = Command::new(program);
+        command.args(args).envs(env.iter().map(|(k, v)| (k, v)));
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::from(log));
+        let mut child = spawn(&mut command)?;
         let out = child.stdout.take().ok_or_else(|| io::Error::other("no output"))?;
         let (tell, told) = mpsc::channel();
         std::thread::spawn(move || {
@@ -53,7 +77,7 @@
             Some(addr) => Ok(Process { name: name.to_owned(), child, addr }),
             None => {
                 let _ = child.kill();
-                let status = child.wait()?;
+                let status = wait_for(&mut child)?;
                 Err(io::Error::other(format!("{name} was not ready: {status}")))
             }
         }
@@ -64,13 +88,18 @@
         &self.name
     }
 
+    /// Its number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Where it listens.
     pub fn addr(&self) -> SocketAddr {
         self.addr
     }
 
     fn signal(&self, signal: Signal) {
-        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+        if let Some(pid) = pid(&self.child) {
             let _ = kill_process(pid, signal);
         }
     }
@@ -115,8 +144,16 @@
         // One that is stopped can't be waited for.
         self.signal(Signal::CONT);
         let _ = self.child.kill();
-        let _ = self.child.wait();
+        let _ = wait_for(&mut self.child);
+    }
+}
+
+/// Waits for one that was killed, and forgets it first: its number may be another's after that.
+fn wait_for(child: &mut Child) -> io::Result<ExitStatus> {
+    if let (Ok(mut running), Some(pid)) = (RUNNING.lock(), pid(child)) {
+        running.0.retain(|p| *p != pid);
     }
+    child.wait()
 }
 
 impl Drop for Process {
--- a/crates/rig/src/stage.rs
+++ b/crates/rig/src/stage.rs
@@ -65,6 +65,8 @@
     Keepers(usize, usize),
     /// From a router to a keeper, by place.
     Router(usize, usize),
+    /// From keepers to one that took another's place, by place.
+    Joined(usize),
 }
 
 /// A fleet on the stage.
@@ -77,6 +79,8 @@
     secret: PathBuf,
     links: BTreeMap<Between, Link>,
     keepers: Vec<Option<Process>>,
+    /// By the place of a keeper that took another's place: the place of that one, and the places of all since then.
+    joined: BTreeMap<usize, (usize, Vec<usize>)>,
     /// Where keepers listen, which outlives them.
     keeper_addrs: Vec<Option<SocketAddr>>,
     routers: Vec<Option<Process>>,
@@ -98,8 +102,9 @@
         let secret = dir.join("secret");
         std::fs::write(&secret, "5ec2e7".repeat(8))?;
         let recorder = Recorder::to_file(&dir.join("stage.jsonl"))?;
+        let fences = layout.engines.iter().any(|e| e.fences);
         let discovery =
-            DiscoveryConfig { recorder: recorder.clone(), ..DiscoveryConfig::default() }.start()?;
+            DiscoveryConfig { recorder: recorder.clone(), fences, ..DiscoveryConfig::default() }.start()?;
         let mut links = BTreeMap::new();
         for to in 0..layout.keepers {
             for from in (0..layout.keepers).filter(|f| *f != to) {
@@ -120,6 +125,7 @@
         Ok(Stage {
             keepers: (0..layout.keepers).map(|_| None).collect(),
             keeper_addrs: vec![None; layout.keepers],
+            joined: BTreeMap::new(),
             routers: (0..layout.routers).map(|_| None).collect(),
             stopped: vec![None; layout.routers],
             engines: engines.collect(),
@@ -165,11 +171,16 @@
 
     /// Starts a keeper, on the disk that it has.
     pub fn start_keeper(&mut self, keeper: usize) -> io::Result<()> {
-        let all: BTreeMap<String, String> = (0..self.layout.keepers)
+        let joined = self.joined.get(&keeper);
+        let known = joined.map_or_else(|| (0..self.layout.keepers).collect(), |(_, all)| all.clone());
+        let all: BTreeMap<String, String> = known
+            .into_iter()
             .map(|to| {
                 // Its own address is never used: it listens where there is room.
                 let own = SocketAddr::from(([127, 0, 0, 1], 1));
-                let addr = self.links.get(&Between::Keepers(keeper, to)).map_or(own, Link::addr);
+                let link =
+                    self.links.get(&Between::Keepers(keeper, to)).or(self.links.get(&Between::Joined(to)));
+                let addr = link.filter(|_| to != keeper).map_or(own, Link::addr);
                 ((to + 1).to_string(), addr.to_string())
             })
             .collect();
@@ -185,11 +196,17 @@
         std::fs::write(&file, config.to_string())?;
         let name = format!("keeper-{}", keeper + 1);
         let skew = self.layout.keeper_skews.get(keeper).copied().unwrap_or(0).to_string();
-        let args = ["keep", "--config", &file.display().to_string(), "--clock-skew", &skew];
+        let file = file.display().to_string();
+        let mut args = vec!["keep", "--config", &file, "--clock-skew", &skew];
+        args.extend(joined.map(|_| "--join"));
         let process =
             Process::start(&name, &self.program, &args, &self.env, &self.dir.join(format!("{name}.log")))?;
-        let leads_here =
-            |b: &Between| matches!(b, Between::Keepers(_, to) | Between::Router(_, to) if *to == keeper);
+        // Routers reach it where they reached the one whose place it took.
+        let before = joined.map_or(keeper, |(lost, _)| *lost);
+        let leads_here = |b: &Between| match b {
+            Between::Keepers(_, to) | Between::Joined(to) => *to == keeper,
+            Between::Router(_, to) => *to == before,
+        };
         for (_, link) in self.links.iter().filter(|(b, _)| leads_here(b)) {
             link.lead_to(process.addr());
         }
@@ -198,6 +215,45 @@
         Ok(())
     }
 
+    /// Another keeper is to take the place of one that doesn't run: how the call to the keepers goes. Returns its place;
+    /// it is to be started.
+    pub fn replace_keeper(&mut self, lost: usize) -> io::Result<Result<usize, Unreached>> {
+        let new = self.keepers.len();
+        let common = match self.links.get(&Between::Joined(new)) {
+            Some(link) => link.addr(),
+            None => {
+                let link = Link::new("link")?;
+                let addr = link.addr();
+                self.links.insert(Between::Joined(new), link);
+                addr
+            }
+        };
+        let ask = json!({ "lost": lost + 1, "new": new + 1, "at": common });
+        let called = self.keepers()?;
+        let asked = called.call::<wire::Replaced>(wire::REPLACE, Some(&ask), Duration::from_secs(4));
+        if let Err(e) = async_io::block_on(asked) {
+            return Ok(Err(e));
+        }
+        let mut all: Vec<usize> = match self.joined.values().next_back() {
+            Some((_, all)) => all.clone(),
+            None => (0..self.layout.keepers).collect(),
+        };
+        all.retain(|k| *k != lost);
+        for other in &all {
+            self.links.insert(Between::Keepers(new, *other), Link::new("link")?);
+            let at = self.keeper_addrs[*other];
+            at.into_iter()
+                .zip(self.links.get(&Between::Keepers(new, *other)))
+                .for_each(|(at, l)| l.lead_to(at));
+        }
+        all.push(new);
+        let first = self.joined.get(&lost).map_or(lost, |(first, _)| *first);
+        self.joined.insert(new, (first, all));
+        self.keepers.push(None);
+        self.keeper_addrs.push(None);
+        Ok(Ok(new))
+    }
+
     /// Ends a keeper at once.
     pub fn kill_keeper(&mut self, keeper: usize) {
         self.keepers[keeper] = None;
@@ -217,6 +273,7 @@
     /// Puts the copy back.
     pub fn restore_disk(&self, keeper: usize) -> io::Result<()> {
         let to = self.keeper_dir(keeper).join("keeper.redb");
+        std::fs::create_dir_all(self.keeper_dir(keeper))?;
         std::fs::copy(self.dir.join(format!("keeper-{}.saved", keeper + 1)), to).map(|_| ())
     }
 
@@ -311,6 +368,11 @@
 
     // ---- links ----------------------------------------------------------------------------------
 
+    /// A link, where there is one.
+    pub fn link(&self, between: Between) -> Option<&Link> {
+        self.links.get(&between)
+    }
+
     /// Has a link fail.
     pub fn fail(&self, between: Between, faults: Faults) {
         if let Some(link) = self.links.get(&between) {
--- a/crates/router/src/agreed.rs
+++ b/crates/router/src/agreed.rs
@@ -8,19 +8,24 @@
 
 use async_io::Timer;
 use event_listener::Event as Bell;
+use futures_lite::future;
 use hoptiller_agent::{Clock, Keepers, Secret, Unreached, wire};
 use hoptiller_agreement::fleet::Version;
 use hoptiller_agreement::follower::Verdict;
 use hoptiller_agreement::plant::{self, Plant};
-use hoptiller_agreement::{Act, Document, Follower, Holder, Micros};
+use hoptiller_agreement::{Act, Document, Follower, Holder, Micros, Part};
+use hoptiller_tasks::Duty;
 
 use crate::learnt::{read, write_whole};
+use crate::leased::Leased;
 use crate::settings::AgreementSettings;
 
 /// The file's name in the state folder.
 pub const NAME: &str = "agreed";
 /// Time for each keeper.
 const EACH: Duration = Duration::from_millis(700);
+/// Pause where no keeper answers.
+const SOON: Duration = Duration::from_millis(100);
 /// Time between two tellings of the same trouble.
 const SAY_EVERY: Micros = 5_000_000;
 
@@ -33,6 +38,8 @@
     file: Option<PathBuf>,
     /// The rules of the versions heeded can't be used here: nothing is done under them.
     unusable: Cell<bool>,
+    /// Its leases.
+    pub leased: Leased,
     said: Cell<Option<Micros>>,
     doubted: Cell<bool>,
     /// Rung when an answer has prolonged the permit.
@@ -59,6 +66,7 @@
         let me = Holder { router: router.to_owned(), life: life.to_owned() };
         let keepers = Keepers::new(settings.keepers.clone(), secret);
         keepers.begin_with(crate::core::group_of(router) as usize);
+        let leased = Leased::new(&settings.bounds(), clock);
         Rc::new(Agreed {
             follower: RefCell::new(Follower::new(me, settings.bounds(), known)),
             clock,
@@ -66,6 +74,7 @@
             settings,
             file,
             unusable: Cell::new(false),
+            leased,
             said: Cell::new(None),
             doubted: Cell::new(true),
             prolonged: Bell::new(),
@@ -124,20 +133,70 @@
 
     /// Waits until it is time to ask, or a keeper tells that there is news.
     async fn pause(&self) {
-        Timer::after(self.settings.ask_every).await;
+        let every = self.settings.ask_every;
+        let wanted = self.leased.wanted.listen();
+        let told = async {
+            match self.keepers.call::<wire::Numbers>(wire::WATCH, Some(&self.watch()), every + EACH).await {
+                Ok(told) if self.is_news(&told) => {}
+                // A keeper that is behind would answer so again and again.
+                Ok(_) => future::pending().await,
+                Err(_) => {
+                    Timer::after(SOON).await;
+                }
+            }
+        };
+        let over = async {
+            Timer::after(every).await;
+        };
+        future::or(wanted, future::or(told, over)).await;
+    }
+
+    fn watch(&self) -> wire::Watch {
+        let (_, in_force, last) = self.standing();
+        let wait_ms = self.settings.ask_every.as_millis() as u64;
+        let known = wire::Numbers { in_force, last, board: self.leased.board() };
+        wire::Watch { known, wait_ms, board: self.has_tasks() }
+    }
+
+    /// Whether the fleet has tasks that one router does for all.
+    fn has_tasks(&self) -> bool {
+        self.follower.borrow().rules().is_some_and(|r| !r.tasks.is_empty())
+    }
+
+    /// Whose a part of a task is now.
+    pub fn duty(&self, part: Part) -> Duty {
+        if self.has_tasks() { self.leased.duty(part, self.standing().0) } else { Duty::Own }
+    }
+
+    /// Has notes taken, for ever.
+    pub async fn keep_noting(self: Rc<Self>) {
+        let me = self.follower.borrow().me().clone();
+        self.leased.keep_noting(&me, &self.keepers).await;
+    }
+
+    /// Takes no leases any more, and gives back those that it has. Returns whether all are given back.
+    pub async fn hand_over(&self) -> bool {
+        !self.has_tasks() || self.leased.hand_over(self.settings.permit / 2).await
+    }
+
+    fn is_news(&self, told: &wire::Numbers) -> bool {
+        let (_, in_force, heeds) = self.standing();
+        let board = self.has_tasks() && told.board > self.leased.board();
+        told.in_force > in_force || told.last > heeds || board
     }
 
     /// Asks once. Returns whether there was news.
     async fn ask(&self, changed: &impl Fn()) -> bool {
         let (id, act) = self.follower.borrow_mut().ask(self.clock.now());
-        let Act::Ask { holder, heeds, in_force } = act else { return false };
+        let Act::Ask { holder, heeds, in_force, .. } = act else { return false };
+        let offer = self.has_tasks().then(|| self.leased.offer(id));
         let bounds = self.settings.bounds();
-        let body = wire::Ask { holder, heeds, in_force, term: bounds.term, drift: bounds.drift };
+        let body = wire::Ask { holder, heeds, in_force, term: bounds.term, drift: bounds.drift, offer };
         let answer: Result<wire::Asked, Unreached> = self.keepers.call(wire::ASK, Some(&body), EACH).await;
         let granted = match answer {
             Ok(wire::Asked::Granted(granted)) => granted,
             Ok(other) => {
-                self.follower.borrow_mut().unanswered(id);
+                self.unanswered(id);
                 self.say(&match other {
                     wire::Asked::Ahead => {
                         "keepers don't know a version that this router knows: one went back"
@@ -148,7 +207,7 @@
                 return false;
             }
             Err(e) => {
-                self.follower.borrow_mut().unanswered(id);
+                self.unanswered(id);
                 self.say(&e);
                 return false;
             }
@@ -156,9 +215,11 @@
         if plant::is(Plant::FromTheAnswer) {
             self.follower.borrow_mut().count_from(id, self.clock.now());
         }
+        let (serial, leases, board) = (granted.serial, granted.leases.clone(), granted.board.clone());
         let taken = self.follower.borrow_mut().granted(id, granted);
         match taken {
             Ok(news) => {
+                self.leased.granted(id, serial, leases.as_deref(), board.as_ref());
                 if news {
                     changed();
                     self.write();
@@ -167,12 +228,18 @@
                 news
             }
             Err(e) => {
+                self.leased.unanswered(id);
                 self.say(&e);
                 false
             }
         }
     }
 
+    fn unanswered(&self, id: u64) {
+        self.follower.borrow_mut().unanswered(id);
+        self.leased.unanswered(id);
+    }
+
     /// Gives the permit back: nothing more is done under it.
     pub async fn give_back(&self) {
         let me = self.follower.borrow().me().clone();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,7 +1,8 @@
 //! The router: takes statements, lets the decision module say where each goes, and carries that out.
 //!
 //! Dependencies point one way: [`settings`], [`core`] and [`membership`] know nothing of sockets; [`engines`],
-//! [`discovery`], [`agreed`] and [`fronts`] move bytes and decide nothing; what these ask of a running router is at its [`desk`];
+//! [`discovery`], [`agreed`], [`leased`] and [`fronts`] move bytes and decide nothing; what these ask of a running router is at
+//! its [`desk`];
 //! [`service`] ties them together.
 
 pub mod agreed;
@@ -11,6 +12,7 @@
 pub mod engines;
 pub mod fronts;
 pub mod learnt;
+pub mod leased;
 pub mod membership;
 pub mod restart;
 pub mod rounds;
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_io::Timer;
+use futures_lite::future;
 use hoptiller::{EngineId, LoadReport, Micros, Progress, Scope};
 use hoptiller_agreement::follower::Verdict as Permitted;
 use hoptiller_http::{Spawner, Ticks};
@@ -99,7 +100,7 @@
             own: settings.clone(),
             listed: RefCell::default(),
             learnt,
-            discovery: Rc::new(Discovery::new(settings.clone())),
+            discovery: Discovery::new(settings.clone(), agreed.clone()),
             desk: Rc::new(Desk {
                 key: Key::new(secret, &settings.router.name),
                 life,
@@ -138,6 +139,7 @@
         if let Some(agreed) = &self.desk.agreed {
             let me = self.clone();
             self.desk.ex.spawn(agreed.clone().run(move || me.heed()));
+            self.desk.ex.spawn(agreed.clone().keep_noting());
         }
         let listener_of_lists: Rc<dyn Listener> = self.clone();
         self.desk.ex.spawn(self.discovery.clone().run(self.desk.ex.clone(), listener_of_lists));
@@ -151,9 +153,17 @@
     /// Takes nothing new, finishes what it holds, and returns.
     pub async fn end(&self) -> Stopped {
         self.desk.ending.set(true);
-        let stopped = self.finish().await;
+        // What it does for all is another's before it ends, while what it holds is finished.
+        let hand_over = async {
+            match &self.desk.agreed {
+                Some(agreed) => agreed.hand_over().await,
+                None => true,
+            }
+        };
+        let (stopped, handed_over) = future::zip(self.finish(), hand_over).await;
         self.save();
-        if let (Stopped::Clean, Some(agreed)) = (stopped, &self.desk.agreed) {
+        // Danger: what still runs under a lease is not over because the permit is given back.
+        if let (Stopped::Clean, true, Some(agreed)) = (stopped, handed_over, &self.desk.agreed) {
             agreed.give_back().await;
         }
         stopped
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -69,7 +69,7 @@
     pub permit: Duration,
     /// How far the rates of two clocks may differ, in millionths: as keepers have it.
     pub drift: u64,
-    /// Time between two questions.
+    /// Time between two prolongings of the permit; news is heard meanwhile.
     pub ask_every: Duration,
 }
 
--- a/crates/router/src/settings/read.rs
+++ b/crates/router/src/settings/read.rs
@@ -259,7 +259,9 @@
         let secret = self.text(&mut o, "secret");
         let permit = self.duration(&mut o, "permit", Some("10s"));
         let drift = self.count(&mut o, "drift", Some(1000));
-        let ask_every = self.duration(&mut o, "ask_every", Some("250ms"));
+        // News is heard at once; so often the permit is prolonged.
+        let usual = permit.map(|p| format!("{}ms", p.as_millis() / 5));
+        let ask_every = self.duration(&mut o, "ask_every", usual.as_deref().or(Some("1s")));
         self.done(o);
         Some(Some(AgreementSettings {
             keepers: keepers?,
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -16,6 +16,7 @@
 use hoptiller_statement::extra;
 
 use crate::Running;
+use crate::lease::Numbers;
 
 /// How it fails.
 #[derive(Clone, Copy, Debug, Default)]
@@ -37,6 +38,8 @@
     pub keep: Duration,
     /// What it tells whom.
     pub recorder: Recorder,
+    /// It refuses what is asked under a lease that is over by what it has seen.
+    pub fences: bool,
     /// How it fails; may change while it runs.
     pub faults: Arc<Mutex<DiscoveryFaults>>,
 }
@@ -48,6 +51,7 @@
             environment: "lettings".into(),
             keep: Duration::from_secs(2),
             recorder: Recorder::default(),
+            fences: false,
             faults: Arc::default(),
         }
     }
@@ -59,6 +63,7 @@
     frozen: Option<Services>,
     /// What each router was told last.
     told: BTreeMap<String, BTreeSet<String>>,
+    leases: Numbers,
 }
 
 impl DiscoveryConfig {
@@ -102,6 +107,9 @@
             return self.announce(inner, node, request).into();
         }
         if path.starts_with(SERVICE) && request.method == Method::Get {
+            if let Some(over) = inner.leases.look(request, "discovery", self.fences, &self.recorder) {
+                return over.into();
+            }
             let list = self.list(inner, faults.stale);
             if let Some(router) = request.headers.get(extra::ROUTER) {
                 self.record(inner, router, &list);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -23,6 +23,7 @@
 
 use crate::Running;
 use crate::fault::Faults;
+use crate::lease::Numbers;
 use crate::ledger::Ledger;
 use crate::model::{Admission, Course, Model, Spec, Stands};
 use crate::shape::{self, Shape};
@@ -127,6 +128,7 @@
     draining: bool,
     /// The newest version of the fleet's rules that was in force for something sent here.
     newest: u64,
+    leases: Numbers,
 }
 
 /// An engine's clock starts here, so that a warm one has a past.
@@ -147,6 +149,7 @@
         next: 0,
         draining: false,
         newest: 0,
+        leases: Numbers::default(),
         config,
     };
     let engine: Engine = Rc::new((RefCell::new(inner), Bell::new()));
@@ -270,6 +273,14 @@
     if engine.0.borrow().model.has_fallen() {
         return Reply::Close;
     }
+    if request.headers.get(extra::LEASE).is_some() {
+        let mut inner = engine.0.borrow_mut();
+        let (name, fences) = (inner.config.node.clone(), inner.config.fences);
+        let recorder = inner.config.recorder.clone();
+        if let Some(over) = inner.leases.look(&request, &name, fences, &recorder) {
+            return over.into();
+        }
+    }
     let path = request.path().to_owned();
     if path == STATEMENT && request.method == Method::Post {
         return post(engine, &request, addr);
--- /dev/null
+++ b/crates/standin/src/lease.rs
@@ -0,0 +1,37 @@
+//! Owns what a stand-in does with the lease under which something is asked of it: it records it and, where it compares,
+//! refuses one whose number is under one that it has seen for that part.
+
+use std::collections::BTreeMap;
+
+use hoptiller_audit::{Record, Recorder, now as wall};
+use hoptiller_http::{Request, Response};
+use hoptiller_statement::extra;
+
+/// By part: the highest number seen. It is gone with the process.
+#[derive(Default)]
+pub(crate) struct Numbers(BTreeMap<String, u64>);
+
+impl Numbers {
+    /// Looks at a request. `Some`: it is refused with that.
+    pub fn look(
+        &mut self,
+        request: &Request,
+        resource: &str,
+        compares: bool,
+        recorder: &Recorder,
+    ) -> Option<Response> {
+        let (part, number) = extra::lease(request.headers.get(extra::LEASE)?)?;
+        let newest = self.0.entry(part.to_owned()).or_default();
+        let refused = compares && number < *newest;
+        *newest = number.max(*newest);
+        recorder.write(Record::Leased {
+            at: wall(),
+            resource: resource.to_owned(),
+            router: request.headers.get(extra::ROUTER).unwrap_or_default().to_owned(),
+            part: part.to_owned(),
+            number,
+            refused,
+        });
+        refused.then(|| Response::text(409, "that lease is over"))
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 pub mod engine;
 pub mod fault;
+mod lease;
 pub mod ledger;
 pub mod model;
 pub mod shape;
--- a/crates/statement/src/extra.rs
+++ b/crates/statement/src/extra.rs
@@ -26,6 +26,9 @@
 pub const VERSIONS: &str = "X-Hoptiller-Versions";
 /// The router that sends: attempts, and questions to discovery.
 pub const ROUTER: &str = "X-Hoptiller-Router";
+/// Under which lease of a fleet-wide task something is asked, `probe/3#17`: whoever compares refuses one whose number is
+/// under one that it has seen for that part.
+pub const LEASE: &str = "X-Hoptiller-Lease";
 
 /// Reads `name=number` pairs; only finite numbers count.
 pub fn numbers(value: &str) -> impl Iterator<Item = (&str, f64)> {
@@ -53,6 +56,12 @@
     format!("{router}/{number:05}_{life}")
 }
 
+/// The part and the number of a [`LEASE`].
+pub fn lease(text: &str) -> Option<(&str, u64)> {
+    let (part, number) = text.split_once('#')?;
+    Some((part, number.parse().ok()?))
+}
+
 /// Reads [`VERSIONS`]: the one in force, the last heeded, and whether in doubt.
 pub fn versions(value: &str) -> Option<(u64, u64, bool)> {
     let (numbers, doubt) = match value.strip_suffix(" doubt") {
