--- a/crates/router/tests/runaways.rs
+++ b/crates/router/tests/runaways.rs
@@ -283,6 +283,15 @@
     stage.assert_rules_kept();
 }
 
+/// Set when a test's thread is done, also by a panic.
+struct OnDrop<'a>(&'a AtomicBool);
+
+impl Drop for OnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 #[test]
 fn a_runaway_whose_router_has_died_is_named_by_the_next_one() {
     let mut stage = stage(1);
@@ -304,10 +313,13 @@
         stage.wait_until_sent(&trace);
     });
     stage.crash_router();
+    // It is named some 12 s after it began, if lookups stand behind it then: they come until it is.
+    let over = AtomicBool::new(false);
     std::thread::scope(|s| {
+        let _ends = OnDrop(&over);
         for _ in 0..12 {
             s.spawn(|| {
-                for _ in 0..3 {
+                while !over.load(Ordering::Relaxed) {
                     let mut ask = stage.ask("lookup", "SELECT rent FROM due /* work=20ms set=7 */");
                     ask.patience = Duration::from_millis(7400);
                     let mut client = Client::new("r2", addr, stage.recorder.clone());
