A drain overtakes a waiting change, tested with processes; what fleets ask of engines is measured

Need: a drain put behind a change that waits was tested in simulated time only; what fleet-wide tasks spare was not measured.

The new test cuts one router off, puts a change that waits for its permit, and behind it a list on which an engine drains: the other routers heed it at once, and what heeds it sends nothing there.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -131,6 +131,41 @@
     night.judged();
 }
 
+#[test]
+fn a_drain_put_behind_a_change_that_waits_is_heeded_at_once() {
+    use hoptiller_agreement::lists::{Member, Roster, Standing};
+    // Long enough that the change still waits when the drain is heeded, on any machine.
+    let mut night = Night::new("drain", 3, |layout| layout.permit = Duration::from_secs(8));
+    assert!(night.until_act("r1", 1, 1) && night.until_act("r2", 1, 1) && night.until_act("r3", 1, 1));
+    night.stage.fail_all(Faults::cut(), |b| matches!(b, Between::Router(0, _)));
+    let waits = night.put("move", &document(&["a", "b"], 2));
+    let mut drained = document(&["a", "b"], 2);
+    let now =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("later").as_millis() as u64;
+    let member = |n: usize| match n {
+        0 => Member { started: now, standing: Standing::Draining },
+        _ => Member { started: 0, standing: Standing::Up },
+    };
+    drained.list = Some(Roster((0..4).map(|n| (format!("engine-{n}"), member(n))).collect()));
+    let drain = night.put("drain", &drained);
+    assert!(night.stage.until_heeded(2, drain, LONG));
+    for router in ["r2", "r3"] {
+        assert!(night.until_act(router, 1, drain), "{router} acts on");
+    }
+    night.stage.heal();
+    assert!(night.stage.until_in_force(drain, LONG) && night.until_act("r1", drain, drain));
+    let records = night.judged();
+    let sent = |r: &Record| match r {
+        Record::Sent { engine, versions: Some((in_force, heeds, false)), .. } if *heeds >= drain => {
+            Some((engine.clone(), *in_force))
+        }
+        _ => None,
+    };
+    let sent: Vec<(String, u64)> = records.iter().filter_map(sent).collect();
+    assert!(sent.iter().any(|(_, in_force)| *in_force < waits), "the change before it still waited");
+    assert!(sent.iter().all(|(engine, _)| engine != "engine-0"), "what heeds the drain sends nothing there");
+}
+
 #[test]
 fn links_in_a_ring_and_lost_answers_do_not_keep_a_change_back() {
     let mut night = Night::new("ring", 3, |_| {});
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -8,6 +8,7 @@
 mod polls;
 mod runaways;
 mod site;
+mod tasks;
 
 use std::process::ExitCode;
 
@@ -34,6 +35,8 @@
     Crowd(crowd::Args),
     /// Keepers with many routers: cores, links, time until a change is heeded; their start with many versions
     Keepers(keepers::Args),
+    /// What discovery and engines are asked by fleets of several sizes, with fleet-wide tasks and without
+    Tasks(tasks::Args),
     /// The watch for runaways: cost of a kind, of a look, of its state; time to find planted ones over sockets
     Runaways(runaways::Args),
 }
@@ -45,6 +48,7 @@
         Command::Latency(args) => latency::run(&args),
         Command::Runaways(args) => runaways::run(&args),
         Command::Keepers(args) => keepers::run(&args),
+        Command::Tasks(args) => tasks::run(&args),
         Command::Crowd(args) => crowd::run(&args),
     };
     match done {
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,8 @@
     pub recorder: Recorder,
     /// It refuses what is asked under a lease that is over by what it has seen.
     pub fences: bool,
+    /// Counts how often it was asked for its list.
+    pub asked: Arc<AtomicU64>,
     /// How it fails; may change while it runs.
     pub faults: Arc<Mutex<DiscoveryFaults>>,
 }
@@ -52,6 +55,7 @@
             keep: Duration::from_secs(2),
             recorder: Recorder::default(),
             fences: false,
+            asked: Arc::default(),
             faults: Arc::default(),
         }
     }
@@ -107,6 +111,7 @@
             return self.announce(inner, node, request).into();
         }
         if path.starts_with(SERVICE) && request.method == Method::Get {
+            self.asked.fetch_add(1, Ordering::Relaxed);
             if let Some(over) = inner.leases.look(request, "discovery", self.fences, &self.recorder) {
                 return over.into();
             }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -57,6 +58,8 @@
     pub ledger: Ledger,
     /// What passes on its sockets.
     pub recorder: Recorder,
+    /// Counts how often it was asked since when it runs, or whether it drains.
+    pub asked: Arc<AtomicU64>,
     /// How it fails; may change while it runs.
     pub faults: Arc<Mutex<Faults>>,
 }
@@ -78,6 +81,7 @@
             fences: false,
             ledger: Ledger::default(),
             recorder: Recorder::default(),
+            asked: Arc::default(),
             faults: Arc::default(),
         }
     }
@@ -308,6 +312,9 @@
     }
     let router = request.headers.get(extra::ROUTER).map(str::to_owned);
     let mut inner = engine.0.borrow_mut();
+    if path.starts_with("/v1/info") {
+        inner.config.asked.fetch_add(1, Ordering::Relaxed);
+    }
     match (path.as_str(), &request.method) {
         ("/v1/info", Method::Get) => {
             let uptime = inner.model.uptime(inner.now()) as f64 / 1e6;
