A holder that can not reach discovery leaves it to another router

Need: a router that hears keepers but does not reach discovery held its reading for as long as it lived, and the others went by its last note: the reverse of the holder that is cut off from keepers.

Changed: after three failed looks in a row the holder gives the part back; the book remembers who tried it last and asks another first, also where that one then has more than the first. Links between routers and discovery can now be made to fail in the rig.

--- a/crates/agreement/src/lease.rs
+++ b/crates/agreement/src/lease.rs
@@ -142,6 +142,9 @@
 struct Slot {
     lease: Option<Lease>,
     note: Option<String>,
+    /// Who gave it back last: another is to try, if there is one.
+    #[serde(default)]
+    tried: Option<Holder>,
     /// When it changed, by the board's count.
     changed: u64,
 }
@@ -215,7 +218,11 @@
         }
         let mut changed = (was >= SEASONED) != (now >= SEASONED && offer.willing);
         for (part, number) in &offer.released {
-            changed |= self.free(part, |lease| lease.holder == *holder && lease.number == *number);
+            if self.free(part, |lease| lease.holder == *holder && lease.number == *number) {
+                changed = true;
+                let slot = self.slots.get_mut(part);
+                slot.into_iter().for_each(|slot| slot.tried = Some(holder.clone()));
+            }
         }
         if changed {
             self.balance();
@@ -307,9 +314,12 @@
         }
         let free: Vec<Part> = self.slots.iter().filter(|(_, s)| s.lease.is_none()).map(|(p, _)| *p).collect();
         for part in free {
-            let least = counts.values().min().copied().unwrap_or(0);
-            let fewest = counts.iter().filter(|(_, n)| **n == least).map(|(h, _)| h);
-            let Some(holder) = fewest.max_by_key(|h| weight(&part, h)).cloned() else { return };
+            let tried = self.slots.get(&part).and_then(|s| s.tried.clone());
+            let burden = |(h, n): &(&Holder, &u32)| {
+                let again = tried.as_ref() == Some(*h);
+                (**n + u32::from(again), again, weight(&part, h))
+            };
+            let Some(holder) = counts.iter().min_by_key(burden).map(|(h, _)| h.clone()) else { return };
             counts.entry(holder.clone()).and_modify(|n| *n += 1);
             self.fence += 1;
             let number = match plant::is(Plant::ForgetsNumbers) {
@@ -336,7 +346,8 @@
             if most < least + 2 {
                 return;
             }
-            let of_most = self.slots.iter_mut().filter_map(|(p, s)| Some((*p, s.lease.as_mut()?)));
+            let of_most = self.slots.iter_mut().filter(|(_, s)| s.tried.as_ref() != Some(&to));
+            let of_most = of_most.filter_map(|(p, s)| Some((*p, s.lease.as_mut()?)));
             let movable = of_most.filter(|(_, l)| l.holder == from && !l.leaving);
             let Some((_, lease)) = movable.max_by_key(|(p, _)| weight(p, &to)) else { return };
             lease.leaving = true;
--- a/crates/agreement/src/tenant.rs
+++ b/crates/agreement/src/tenant.rs
@@ -202,6 +202,13 @@
         self.holds.get(&part).is_some_and(|h| now < h.until)
     }
 
+    /// What is to be done under a lease can't be done here: it is given back, for another to try.
+    pub fn give_up(&mut self, part: Part) {
+        if let Some(hold) = self.holds.get_mut(&part) {
+            hold.leaving = true;
+        }
+    }
+
     /// Takes no leases any more, and gives back what it has.
     pub fn leave(&mut self) {
         self.willing = false;
--- a/crates/agreement/tests/leases.rs
+++ b/crates/agreement/tests/leases.rs
@@ -276,3 +276,24 @@
     assert_eq!(next.posted(part(0)).and_then(|p| p.1), Some("so far"));
     assert!(next.holds(w.now, part(0)));
 }
+
+#[test]
+fn what_one_can_not_do_another_is_to_try() {
+    let mut w = World::new(3);
+    for n in 0..3 {
+        w.join(&format!("r{n}"), "1");
+    }
+    w.rounds(4 * SEASONED);
+    let first = w.held()[&part(0)].clone();
+    w.routers.get_mut(&first).expect("there").0.give_up(part(0));
+    w.rounds(3);
+    let second = w.held()[&part(0)].clone();
+    assert_ne!(second, first, "each has as many as the others, and another is asked first");
+    // With nobody else there, it is tried by the same again.
+    w.routers.retain(|who, _| *who == second);
+    w.rounds(3 * SEASONED);
+    w.routers.get_mut(&second).expect("there").0.give_up(part(0));
+    w.rounds(3);
+    assert_eq!(w.held()[&part(0)], second);
+    assert!(w.routers[&second].0.holds(w.now, part(0)));
+}
--- a/crates/cli/tests/leases.rs
+++ b/crates/cli/tests/leases.rs
@@ -155,6 +155,16 @@
     assert_eq!(verdict.leases.expect("acts").overlaps, 0);
 }
 
+#[test]
+fn a_holder_that_reaches_keepers_and_not_discovery_leaves_it_to_another() {
+    let mut night = Night::leasing("lease-reverse", 3, |_| {});
+    let holder = night.holder("list/0");
+    night.stage.fail(Between::Discovery(holder), Faults { refuse: true, ..Faults::default() });
+    assert!(night.until_other("list/0", holder), "another reads it");
+    let (_, verdict) = night.verdict();
+    assert_eq!(verdict.leases.expect("acts").overlaps, 0);
+}
+
 #[test]
 fn a_leader_killed_and_all_keepers_away_for_long_leave_no_two_holders() {
     let mut night = Night::leasing("lease-keepers", 3, |_| {});
--- a/crates/rig/src/stage.rs
+++ b/crates/rig/src/stage.rs
@@ -65,6 +65,8 @@
     Keepers(usize, usize),
     /// From a router to a keeper, by place.
     Router(usize, usize),
+    /// From a router to discovery, by place.
+    Discovery(usize),
     /// From keepers to one that took another's place, by place.
     Joined(usize),
 }
@@ -114,6 +116,11 @@
                 links.insert(Between::Router(router, to), Link::new("link")?);
             }
         }
+        for router in 0..layout.routers {
+            let link = Link::new("link")?;
+            link.lead_to(discovery.addr);
+            links.insert(Between::Discovery(router), link);
+        }
         let engines = layout.engines.iter().enumerate().map(|(at, plan)| {
             let mut config = EngineConfig::new(&format!("engine-{at}"), &plan.kind, &plan.zone);
             config.discovery = Some(discovery.addr);
@@ -206,6 +213,7 @@
         let leads_here = |b: &Between| match b {
             Between::Keepers(_, to) | Between::Joined(to) => *to == keeper,
             Between::Router(_, to) => *to == before,
+            Between::Discovery(_) => false,
         };
         for (_, link) in self.links.iter().filter(|(b, _)| leads_here(b)) {
             link.lead_to(process.addr());
@@ -300,7 +308,8 @@
             "name": name, "index": router, "of": self.layout.routers, "listen": "127.0.0.1:0",
             "state": self.dir.join(format!("state-{name}")), "seed": router + 1,
         });
-        settings["discovery"]["address"] = self.discovery.addr.to_string().into();
+        let discovery = self.links.get(&Between::Discovery(router)).map_or(self.discovery.addr, Link::addr);
+        settings["discovery"]["address"] = discovery.to_string().into();
         if self.layout.agreement {
             settings["agreement"] = json!({
                 "keepers": keepers, "secret": self.secret, "drift": self.layout.drift,
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Owns the looks at discovery and at each engine's own state. What they mean is [`membership`](crate::membership)'s.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -31,6 +31,9 @@
     fn place(&self, engine: hoptiller::EngineId, name: &str, addr: std::net::SocketAddr);
 }
 
+/// Looks at discovery in a row that fail until another router is to read it for all.
+const TRIES: u32 = 3;
+
 /// The looks of one router.
 pub struct Discovery {
     settings: Rc<Settings>,
@@ -40,6 +43,8 @@
     agreed: Option<Rc<Agreed>>,
     /// By part of the engines that this router asks for all: under which number, and what they told.
     sheets: RefCell<BTreeMap<Part, (u64, Sheet)>>,
+    /// Looks at discovery in a row that failed.
+    failed: Cell<u32>,
     /// Rung when a look is wanted at once.
     pub now: Bell,
     me: Weak<Discovery>,
@@ -57,6 +62,7 @@
             followed: RefCell::default(),
             agreed,
             sheets: RefCell::default(),
+            failed: Cell::new(0),
             now: Bell::new(),
         })
     }
@@ -139,6 +145,16 @@
             Err(e) => self.refused(failing, listener.as_ref(), &e.to_string()),
         }
         self.done(right.as_ref());
+        // Danger: one that alone does not reach discovery would keep the others on an old list for as long as it lives.
+        let failed = if *failing { self.failed.get() + 1 } else { 0 };
+        self.failed.set(failed);
+        if let (Some(right), Some(agreed)) = (right, &self.agreed)
+            && failed >= TRIES
+        {
+            tracing::warn!("discovery is left to another router");
+            agreed.leased.give_up(right.part);
+            self.failed.set(0);
+        }
     }
 
     fn take(&self, ex: &Spawner, listener: &Rc<dyn Listener>, list: &Services) {
--- a/crates/router/src/leased.rs
+++ b/crates/router/src/leased.rs
@@ -102,6 +102,12 @@
         }
     }
 
+    /// What is to be done for a part can't be done here: another is to try.
+    pub fn give_up(&self, part: Part) {
+        self.tenant.borrow_mut().give_up(part);
+        self.wanted.notify(usize::MAX);
+    }
+
     /// A note for the others, in place of the one before.
     pub fn note(&self, right: &Right, text: String) {
         let mut notes = self.notes.borrow_mut();
