--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::Parser;
 use hoptiller_check::{Leasing, Limits};
-use stateright::{Checker, Model};
+use stateright::{Checker, HasDiscoveries, Model};
 
 /// Goes through all courses of leases within bounds: keepers, would-be holders, messages lost, doubled and overtaken, clocks
 /// at their bounds, crashes at any step
@@ -65,7 +65,7 @@
     let began = Instant::now();
     let threads = std::thread::available_parallelism().map_or(1, usize::from);
     let model = Leasing::new(Limits { ticks, term, asks, crashes, doubles, way, late_twin, processes });
-    let mut checker = model.checker().threads(threads);
+    let mut checker = model.checker().threads(threads).finish_when(HasDiscoveries::AnyFailures);
     if args.states > 0 {
         checker = checker.target_state_count(args.states);
     }
--- a/crates/check/tests/leases.rs
+++ b/crates/check/tests/leases.rs
@@ -1,7 +1,7 @@
 //! Within bounds that take seconds: no two holders act at once in any course; and each planted fault shows in some.
 
 use hoptiller_check::{Leasing, Limits};
-use stateright::{Checker, Model};
+use stateright::{Checker, HasDiscoveries, Model};
 
 const NEVER: [&str; 2] = ["never two acting", "no number is given twice"];
 
@@ -16,7 +16,8 @@
 /// What is broken, and whether a part that came free was taken.
 fn check(limits: &Limits) -> (Vec<&'static str>, bool) {
     let threads = std::thread::available_parallelism().map_or(1, usize::from);
-    let done = Leasing::new(limits.clone()).checker().threads(threads).spawn_bfs().join();
+    let model = Leasing::new(limits.clone()).checker().threads(threads);
+    let done = model.finish_when(HasDiscoveries::AnyFailures).spawn_bfs().join();
     let found = done.discoveries();
     println!("{limits:?}: {} states, {} steps deep", done.unique_state_count(), done.max_depth());
     let broken = NEVER.into_iter().filter(|p| found.contains_key(p)).collect();
