Tests of the lease book notice each of its guards taken out

Twelve guards of agreement::lease and agreement::tenant were taken out one at a time: hears, seasoned, silent, prolonged-after, the number and the holder of a note, the number of what is given back, what is on its way, overtaken, over, acts that run, time to begin. Four had no test that noticed: an act of a keeper that was overtaken by a prolonging, a copy of an old giving-back, an overtaken answer that takes away, and one that brings back (there leave() hid it). They have one now; with the tests added, each of the twelve is noticed.

--- a/crates/agreement/tests/leases.rs
+++ b/crates/agreement/tests/leases.rs
@@ -8,7 +8,9 @@
 use common::document;
 use hoptiller_agreement::fleet::Granted;
 use hoptiller_agreement::lease::{MOST_NOTE, NotNoted, SEASONED};
-use hoptiller_agreement::{Act, Answer, Bounds, Fleet, Holder, Micros, Part, Put, Task, Tenant, Terms};
+use hoptiller_agreement::{
+    Act, Answer, Bounds, Fleet, Holder, Micros, Offer, Part, Put, Task, Tenant, Terms,
+};
 
 const MS: Micros = 1000;
 const BOUNDS: Bounds = Bounds { term: 2000 * MS, drift: 1000 };
@@ -207,16 +209,46 @@
     // The answer names the lease, and is late.
     let (late, named) = w.ask(&who);
     assert_eq!(named.leases.as_ref().map(Vec::len), Some(1));
-    let tenant = &mut w.routers.get_mut(&who).expect("there").0;
-    tenant.leave();
+    w.routers.get_mut(&who).expect("there").0.give_up(part(0));
     let (id, told) = w.ask(&who);
     w.hear(&who, late, &named);
     assert!(!w.routers[&who].0.holds(w.now, part(0)), "it has given it back with its last question");
     w.hear(&who, id, &told);
     assert!(!w.routers[&who].0.holds(w.now, part(0)));
-    // The answer before was not heard when it asked: what it gave back is confirmed with the next one.
-    w.rounds(1);
-    assert_eq!(w.routers[&who].0.left(), 0);
+    // The answer before was not heard when it asked: what it gave back is confirmed with the next ones.
+    w.rounds(2 * SEASONED);
+    assert!(
+        w.routers[&who].0.holds(w.now, part(0)),
+        "nobody else takes it: it has it again, under another number"
+    );
+    // An older answer that knows nothing of it yet takes nothing away.
+    let (first, mut old) = w.ask(&who);
+    let (second, new) = w.ask(&who);
+    old.leases = Some(Vec::new());
+    w.hear(&who, second, &new);
+    w.hear(&who, first, &old);
+    assert!(w.routers[&who].0.holds(w.now, part(0)));
+}
+
+#[test]
+fn what_is_judged_or_given_back_too_late_frees_nothing() {
+    let mut w = World::new(1);
+    w.join("r0", "1");
+    w.rounds(2 * SEASONED);
+    let who = holder("r0", "1");
+    // A keeper judges, and the holder's question comes before its judgement in the log.
+    w.terms.learn(w.now, &w.fleet);
+    let judged = w.terms.lapsed_leases(w.now + 2 * BOUNDS.term, &BOUNDS);
+    assert_eq!(judged.len(), 1);
+    let (id, told) = w.ask(&who);
+    w.hear(&who, id, &told);
+    w.fleet.apply(Act::Free(judged));
+    assert_eq!(w.fleet.leases().count(&who), 1, "it was prolonged meanwhile");
+    // A copy of a question from when it gave an earlier lease of that part back.
+    let number = w.fleet.leases().board(0).posted[0].holder.as_ref().expect("held").1;
+    let offer = Some(Offer { heard: 1, willing: true, released: vec![(part(0), number - 1)], board: 0 });
+    w.fleet.apply(Act::Ask { holder: who.clone(), heeds: 1, in_force: 1, offer });
+    assert_eq!(w.fleet.leases().board(0).posted[0].holder, Some((who, number)), "it is another lease");
 }
 
 #[test]
