What is decided behind a change of keepers is void: a test that notices

Taken out by hand, the break behind an entry that changes the keepers was noticed by no test: with three keepers the one that is behind is handed the state. The new test has a change go out together with a replacing, and looks at the leader the moment its list has changed. Without the break it fails. Without proposing again what was void, the random faults with replacements fail (tried).

--- a/crates/keeper/tests/simulated.rs
+++ b/crates/keeper/tests/simulated.rs
@@ -516,3 +516,22 @@
         assert_eq!(w.cores[&2].fleet(), w.cores[&4].fleet(), "after {steps} steps");
     }
 }
+
+#[test]
+fn what_is_decided_behind_a_change_of_keepers_is_void_and_comes_under_the_next_list() {
+    let mut w = World::new("void", 10);
+    assert_eq!(w.answer(1, put("one", 3)), Some(Answer::Put(Ok(1))));
+    let leader = w.leader().expect("somebody leads");
+    let lost = (1..=3).find(|k| *k != leader).expect("others");
+    // Both go out together, and are decided together.
+    w.replace(leader, lost, 4);
+    let ticket = w.call(leader, put("two", 2));
+    while w.cores[&leader].members().number == 1 {
+        w.step();
+    }
+    assert_eq!(w.cores[&leader].fleet().last(), 1, "it was decided under a list that had ended");
+    assert!(w.join(4));
+    w.run(3000);
+    assert_eq!(w.answers.remove(&(leader, ticket)), Some(Answer::Put(Ok(2))), "and came again");
+    assert_eq!(w.cores[&4].fleet().last(), 2);
+}
