--- a/crates/measure/src/tasks.rs
+++ b/crates/measure/src/tasks.rs
@@ -135,7 +135,7 @@
         for n in 0..size {
             let value = json!({
                 "router": { "name": format!("r{n}"), "listen": "127.0.0.1:0" }, "kinds": { "a": 8 }, "zones": ["x"],
-                "classes": [{ "name": "lookup", "aim": "1s", "patience": "7s", "repeat": "safe" }],
+                "classes": [{ "name": "lookup", "aim": "1s", "patience": "7s", "repeat": "safe" }], "default_class": "lookup",
                 "engines": {}, "rules": { "start_capacity": 0.3, "ramp": "4s", "overload": 3, "fall": "2s" },
                 "discovery": { "address": at, "environment": "lettings", "every": "1s", "state_every": "1s" },
                 "agreement": { "keepers": keepers, "secret": secret, "permit": "4s" },
