--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -134,8 +134,8 @@
 #[test]
 fn a_drain_put_behind_a_change_that_waits_is_heeded_at_once() {
     use hoptiller_agreement::lists::{Member, Roster, Standing};
-    // Long enough that the change still waits when the drain is heeded, on any machine.
-    let mut night = Night::new("drain", 3, |layout| layout.permit = Duration::from_secs(8));
+    // So long that the change still waits when the drain is heeded, on any machine; it ends when the link is whole again.
+    let mut night = Night::new("drain", 3, |layout| layout.permit = Duration::from_secs(300));
     assert!(night.until_act("r1", 1, 1) && night.until_act("r2", 1, 1) && night.until_act("r3", 1, 1));
     night.stage.fail_all(Faults::cut(), |b| matches!(b, Between::Router(0, _)));
     let waits = night.put("move", &document(&["a", "b"], 2));
