Attempts in a file of their own, and inline tests of four files in test files

Change: what is sent, what came of it and why nothing did moves from crates/node/src/links.rs to attempt.rs; the tests of gate, node, call and engine move to tests.rs beside them. Nothing else.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`node`]: ties the core to the rest, and runs its rounds.
 //! - [`front`]: clients, over [`hoptiller_http::server`].
+//! - [`attempt`]: what is sent, what came of it, and why nothing did.
 //! - [`links`]: connections to engines; one request a connection.
 //! - [`follower`]: the coordinator.
 //! - [`budget`]: how descriptors and memory are divided.
@@ -9,6 +10,7 @@
 //!
 //! Parsers are in `hoptiller_platform`; decisions are in `hoptiller`.
 
+pub mod attempt;
 pub mod budget;
 pub mod follower;
 pub mod front;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,10 +19,11 @@
 use hoptiller_router::rounds::{Carry, Rounds};
 use serde_json::value::RawValue;
 
+use crate::attempt::Order;
 use crate::budget::Budget;
 use crate::follower::Follower;
 use crate::front::{self, Front, OpenIds};
-use crate::links::{Links, Manner, Order};
+use crate::links::{Links, Manner};
 
 /// For the last attempt's end, the decision and the answer before a client gives up.
 const ANSWER_MARGIN: Micros = 30_000;
@@ -350,14 +351,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_late_start_has_its_age_on_the_cores_clock() {
-        let unix = Unix { core: 86_400_000_000, unix: 1_800_000_000_000_000 };
-        assert_eq!(unix.start(0), 0);
-        assert_eq!(unix.start(1_800_000_000_000 - 5_000), 86_400_000_000 - 5_000_000);
-        assert_eq!(unix.start(1), 1, "older than the clock is not long ago");
-    }
-}
+mod tests;
