Decisions: a repeat tells its last moment, what never got there tells nothing, the end gives up

Cause: a keyed request is sent again up to its window, counted at the decision (control.rs, may_try_again); a connection that comes up late writes it past that window. An attempt that ends before its first byte (Moot) set its engine's load to the most (control.rs, feel), so that a client that left closed an engine to others. Nothing gave up what can't be answered before a router is killed. Change: Action::Send holds send_by in place of not_past, which was never set; harmless_until is the one rule behind it and behind may_try_again; Moot tells nothing; Event::GiveUp.

--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -257,6 +257,7 @@
                 }
                 Event::Probed(id, report) => self.on_probe(*id, *report),
                 Event::Dropped(id) => self.end(*id, None, out),
+                Event::GiveUp(id) => self.give_up(*id, out),
                 Event::Hold(hold) => {
                     let out = self.engines.values().flat_map(|e| &e.out);
                     let same = |s: &&Sent| self.requests.get(&s.request).is_some_and(|r| r.is_of(hold.of));
@@ -355,8 +356,7 @@
         let usual = a.want_mb.clamp(0.0, ABSURD) * (1.0 + self.classes[class].spare);
         let grant = if self.cfg.overcommits { ABSURD } else { usual }.min(self.cfg.most_grant);
         let r = Request { class, key, valid_until, group, kind, born, came, ..Request::default() };
-        let request = Request { grant, ..r };
-        self.requests.insert(a.request, request);
+        self.requests.insert(a.request, Request { grant, ..r });
         self.ends.insert((a.valid_until, a.request));
         if let Some(key) = key {
             let turn = self.turns.entry(key).or_default();
@@ -535,8 +535,9 @@
             (Ending::Good, Some(told)) => told,
             (Ending::Good, None) if self.blind => stretch / CALM_STRETCH,
             (Ending::Good, None) => stretch / RETURN_STRETCH,
-            // A client that came with little time left tells nothing of the engine.
+            // A client that came with little time left tells nothing of the engine, nor what never got there.
             (Ending::Late, _) if self.cfg.progress_every > 0 && soon => return,
+            (Ending::Moot, _) => return,
             // Danger: an engine that fails looks idle; what it tells must not draw more to it.
             _ => LOAD_MAX,
         };
@@ -699,7 +700,8 @@
 
     /// The one sender.
     fn send(&mut self, id: RequestId, engine: EngineId, out: &mut Vec<Action>) {
-        let priority = self.priority(&self.requests[&id]);
+        let (priority, send_by) =
+            (self.priority(&self.requests[&id]), self.harmless_until(&self.requests[&id]));
         self.dequeue(id);
         let (Some(r), Some(e)) = (self.requests.get_mut(&id), self.engines.get_mut(&engine)) else { return };
         let class = &mut self.classes[r.class];
@@ -730,7 +732,7 @@
         if (self.cfg.limits.priorities && priority != 1) || r.grant > 0.0 {
             out.push(Action::Terms { request: id, priority, grant: r.grant });
         }
-        out.push(Action::Send { request: id, engine, not_past: None });
+        out.push(Action::Send { request: id, engine, send_by: Some(send_by).filter(|by| *by < Micros::MAX) });
     }
 
     /// The class with the most worth for its work runs ahead inside engines too; late work runs behind.
@@ -828,13 +830,18 @@
         window.is_multiple_of(turns as u64) && sent + self.classes[class].work <= turns * part
     }
 
+    /// Until when sending it again can do nothing twice.
+    fn harmless_until(&self, r: &Request) -> Micros {
+        match (self.cfg.classes[r.class].effect, r.may_have_run) {
+            (Effect::Pure, _) | (_, None) => Micros::MAX,
+            (Effect::Keyed { window, .. }, Some((.., at))) => at.saturating_add(window),
+            (Effect::Unsafe, Some(_)) => 0,
+        }
+    }
+
     /// Whether a request that was sent before may be sent again: effect, attempts, budget.
     fn may_try_again(&self, r: &Request) -> bool {
-        let harmless = match (self.cfg.classes[r.class].effect, r.may_have_run) {
-            (Effect::Pure, _) | (_, None) => true,
-            (Effect::Keyed { window, .. }, Some((.., at))) => self.now < at.saturating_add(window),
-            (Effect::Unsafe, Some(_)) => false,
-        };
+        let harmless = self.now < self.harmless_until(r);
         let budget = self.cfg.rules.retry_budget.is_none_or(|b| {
             // Both counts over the same window; strictly inside it for ours, or a tick could break the rule.
             let since = self.now.saturating_sub(b.look_back);
@@ -1041,8 +1048,8 @@
 
     /// The queued request that has been late for longest.
     fn latest(&self) -> Option<RequestId> {
-        let late = |c| self.head(c, true).map(|id| (self.requests[&id].born, id));
-        (0..self.classes.len()).filter_map(late).min().map(|(_, id)| id)
+        let late = (0..self.classes.len()).filter_map(|c| self.head(c, true));
+        late.min_by_key(|id| (self.requests[id].born, *id))
     }
 
     fn dequeue(&mut self, id: RequestId) {
@@ -1088,8 +1095,7 @@
             sent.filter(|s| self.cfg.limits.cancel && s.request == id).for_each(|s| withdraw(s, out));
             return;
         }
-        let key = r.key;
-        self.requests.remove(&id);
+        let key = self.requests.remove(&id).and_then(|r| r.key);
         if let Some(turn) = key.and_then(|k| self.turns.get_mut(&k)) {
             turn.line.retain(|other| *other != id); // The next one starts at housekeeping, after the rest.
         }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -348,6 +348,8 @@
     Probed(EngineId, Option<LoadReport>),
     /// The client has gone; no answer is owed.
     Dropped(RequestId),
+    /// Its router ends before it could have an answer: it is given up, and told whether trying again is harmless.
+    GiveUp(RequestId),
     /// Some requests are held, or no longer.
     Hold(Hold),
     /// Other rules hold from now on. Classes, kinds and zones keep their numbers; further ones come behind.
@@ -365,8 +367,9 @@
         request: RequestId,
         /// The engine.
         engine: EngineId,
-        /// When to give this attempt up; `None`: when the client does.
-        not_past: Option<Micros>,
+        /// Its first byte must be written before that, or not at all: a connection may take long, and a repeat past
+        /// its window is no longer recognised. `None`: whenever there still is time for it.
+        send_by: Option<Micros>,
     },
     /// Set priority and memory of a request, before its send.
     Terms {
--- a/crates/policy/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -228,6 +228,18 @@
     assert!(sends(&step(&mut c, S + 20 * MS, &events)).iter().all(|s| s.1 != bad));
 }
 
+#[test]
+fn what_never_got_to_an_engine_tells_nothing_of_it() {
+    let after = |ending| {
+        let mut c = Controller::new(many(100, 0), 1).expect("usable settings");
+        let sent = sends(&step(&mut c, S, &[list(Scope::All, &[1]), arrival(1, 0, 9 * S)]));
+        step(&mut c, S + 50 * MS, &[Event::Dropped(RequestId(1)), outcome(1, 0, sent[0].1, ending)]);
+        sends(&step(&mut c, S + 100 * MS, &[arrival(2, 0, 9 * S)]))
+    };
+    assert_eq!(after(Ending::Reset), [], "one that fails looks full");
+    assert_eq!(after(Ending::Moot), [(2, 1)], "its client left before anything was sent");
+}
+
 #[test]
 fn odd_probes_and_a_leaping_clock_do_no_harm() {
     let mut cfg = many(3, 77);
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -275,3 +275,51 @@
     let later: Vec<Event> = (30..36).map(|id| arrival(id, 0, 9 * S)).collect();
     assert!(sends(&step(&mut c, 4 * S, &later)).iter().filter(|s| s.1 == 1).count() > 1);
 }
+
+#[test]
+fn a_repeat_tells_until_when_its_first_byte_may_go_out_and_a_first_attempt_does_not() {
+    let mut c =
+        controller(vec![class(Effect::Keyed { group: Group::All, window: 300 * MS }), class(Effect::Pure)]);
+    let by = |out: &[Action]| {
+        let sent = out.iter().filter_map(|a| match a {
+            Action::Send { send_by, .. } => Some(*send_by),
+            _ => None,
+        });
+        sent.collect::<Vec<_>>()
+    };
+    let out = step(&mut c, S, &[list(Scope::All, &[1, 2]), arrival(1, 0, 6 * S)]);
+    assert_eq!(by(&out), [None]);
+    let first = sends(&out)[0].1;
+    // What is known not to have run starts no window.
+    let out = step(&mut c, S + 50 * MS, &[outcome(1, 0, first, Ending::Moot)]);
+    assert_eq!(by(&out), [None]);
+    let out = step(&mut c, S + 100 * MS, &[outcome(1, 1, sends(&out)[0].1, Ending::Reset)]);
+    assert_eq!(by(&out), [Some(S + 350 * MS)], "from the first attempt that may have run");
+    let out = step(&mut c, 2 * S, &[arrival(2, 1, 6 * S)]);
+    let engine = sends(&out)[0].1;
+    assert_eq!(
+        by(&step(&mut c, 2 * S + MS, &[outcome(2, 0, engine, Ending::Reset)])),
+        [None],
+        "safe for ever"
+    );
+}
+
+#[test]
+fn what_is_given_up_at_the_end_is_refused_only_where_trying_again_is_harmless() {
+    let one_cell = Effect::Keyed { group: Group::Cell, window: S };
+    let mut c = controller(vec![class(Effect::Pure), class(Effect::Unsafe), class(one_cell)]);
+    let events = [arrival(1, 0, 6 * S), arrival(2, 1, 6 * S), arrival(3, 2, 6 * S)];
+    assert_eq!(sends(&step(&mut c, S, &[&[list(Scope::All, &[1])][..], &events].concat())).len(), 3);
+    // Nowhere to go for this one: it has never been sent.
+    step(
+        &mut c,
+        S + MS,
+        &[Event::List(Scope::Changes, vec![Entry { readiness: Readiness::Draining, ..entry(1, 0) }])],
+    );
+    assert_eq!(sends(&step(&mut c, S + 2 * MS, &[arrival(4, 1, 6 * S)])), []);
+    let all: Vec<Event> = (1..=5).map(|id| Event::GiveUp(RequestId(id))).collect();
+    let mut told = answers(&step(&mut c, S + 3 * MS, &all));
+    told.sort_unstable();
+    assert_eq!(told, [(1, true), (2, false), (3, false), (4, true)]);
+    assert_eq!(answers(&step(&mut c, S + 4 * MS, &all)), [], "once");
+}
--- a/crates/router/src/core/interface.rs
+++ b/crates/router/src/core/interface.rs
@@ -157,6 +157,8 @@
     pub grant: f64,
     /// When to give it up.
     pub until: Micros,
+    /// Its first byte must be written before that, or not at all.
+    pub send_by: Option<Micros>,
     /// What to send.
     pub work: Rc<Work>,
 }
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -171,6 +171,13 @@
         self.table.get(id).map(|s| s.course(now))
     }
 
+    /// Gives up all that is not answered: the router ends before it could be.
+    pub fn give_up_all(&mut self) {
+        let mut open: Vec<StatementId> = self.table.unsettled().collect();
+        open.sort_unstable();
+        self.events.extend(open.into_iter().map(|id| Event::GiveUp(RequestId(id))));
+    }
+
     /// Takes nothing new from now on.
     pub fn end(&mut self) {
         self.ending = true;
@@ -325,11 +332,10 @@
                     s.terms = (Some(priority), grant);
                 }
             }
-            Action::Send { request, engine, not_past } => {
+            Action::Send { request, engine, send_by } => {
                 let Some(s) = self.table.get_mut(request.0) else { return };
-                let until = s.valid_until.saturating_sub(self.bounds.answer_margin);
-                let until = not_past.map_or(until, |at| at.min(until)).max(now);
-                let attempt = s.attempt(now, engine, until);
+                let until = s.valid_until.saturating_sub(self.bounds.answer_margin).max(now);
+                let attempt = s.attempt(now, engine, until, send_by);
                 let hop = attempt.hop;
                 self.commands.push_back(Command::Send(attempt));
                 self.watch_sent(now, request.0, hop, engine);
--- a/crates/router/src/core/statement.rs
+++ b/crates/router/src/core/statement.rs
@@ -172,12 +172,18 @@
         self.give(now, Content::News)
     }
 
-    pub(super) fn attempt(&mut self, now: Micros, engine: EngineId, until: Micros) -> Attempt {
+    pub(super) fn attempt(
+        &mut self,
+        now: Micros,
+        engine: EngineId,
+        until: Micros,
+        send_by: Option<Micros>,
+    ) -> Attempt {
         let hop = self.attempts.len() as u32;
         self.attempts.push(Try { engine, sent: now, page: None, ended: None, why: String::new() });
         let (priority, grant) = std::mem::take(&mut self.terms);
         let work = self.work.clone().unwrap_or_default();
-        Attempt { id: self.id, hop, engine, class: self.class, priority, grant, until, work }
+        Attempt { id: self.id, hop, engine, class: self.class, priority, grant, until, send_by, work }
     }
 
     /// When its first attempt was sent.
--- a/crates/router/src/core/table.rs
+++ b/crates/router/src/core/table.rs
@@ -47,6 +47,11 @@
         self.open
     }
 
+    /// The numbers of those.
+    pub(super) fn unsettled(&self) -> impl Iterator<Item = StatementId> {
+        self.all.iter().filter(|(_, s)| !s.is_settled()).map(|(id, _)| *id)
+    }
+
     /// Those whose final answer is settled, and was not given out.
     pub(super) fn undelivered(&self) -> usize {
         self.undelivered
--- a/crates/router/src/engines/attempt.rs
+++ b/crates/router/src/engines/attempt.rs
@@ -183,7 +183,10 @@
     /// The send, held back at the last moment where the fleet's rules don't let it go.
     async fn send(&self, request: &Request, within: Duration) -> Step {
         let (a, pool, connect) = (self.a, &self.engines.pool, self.engines.manner.connect_within);
-        let guard = || self.report.may_send(a.engine, a.class);
+        let guard = || match a.send_by {
+            Some(by) if self.report.now() >= by => Err("a repeat would no longer be recognised".into()),
+            _ => self.report.may_send(a.engine, a.class),
+        };
         self.during(async {
             match pool.guarded(a.engine, self.addr, request, connect, within, guard).await {
                 Ok(answer) => Step::Answered(Ok(answer)),
--- a/crates/router/src/rounds.rs
+++ b/crates/router/src/rounds.rs
@@ -56,6 +56,11 @@
         CLOCK_START + self.started.elapsed().as_micros() as Micros
     }
 
+    /// A time of the core's clock on the machine's.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.started + Duration::from_micros(at.saturating_sub(CLOCK_START))
+    }
+
     /// The core; nothing that it orders is carried out.
     pub fn core(&self) -> RefMut<'_, Core> {
         self.core.borrow_mut()
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -200,12 +200,9 @@
     fn action(&self, i: u64, action: core::Action) -> wire::Action {
         let name = |r: core::RequestId| self.handles[r.0 as usize].clone();
         match action {
-            core::Action::Send { request, engine, not_past } => wire::Action::HandOff {
-                i,
-                handle: name(request),
-                engine: engine.0,
-                not_past: not_past.map(millis),
-            },
+            core::Action::Send { request, engine, .. } => {
+                wire::Action::HandOff { i, handle: name(request), engine: engine.0 }
+            }
             core::Action::Terms { request, priority, grant } => {
                 wire::Action::Allot { i, handle: name(request), workspace_mb: grant, prio: priority }
             }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -180,8 +180,6 @@
         i: u64,
         handle: String,
         engine: u32,
-        #[serde(skip_serializing_if = "Option::is_none")]
-        not_past: Option<f64>,
     },
     Allot {
         i: u64,
