--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -700,8 +700,7 @@
 
     /// The one sender.
     fn send(&mut self, id: RequestId, engine: EngineId, out: &mut Vec<Action>) {
-        let (priority, send_by) =
-            (self.priority(&self.requests[&id]), self.harmless_until(&self.requests[&id]));
+        let (priority, send_by) = (self.priority(&self.requests[&id]), self.safe_until(&self.requests[&id]));
         self.dequeue(id);
         let (Some(r), Some(e)) = (self.requests.get_mut(&id), self.engines.get_mut(&engine)) else { return };
         let class = &mut self.classes[r.class];
@@ -831,7 +830,7 @@
     }
 
     /// Until when sending it again can do nothing twice.
-    fn harmless_until(&self, r: &Request) -> Micros {
+    fn safe_until(&self, r: &Request) -> Micros {
         match (self.cfg.classes[r.class].effect, r.may_have_run) {
             (Effect::Pure, _) | (_, None) => Micros::MAX,
             (Effect::Keyed { window, .. }, Some((.., at))) => at.saturating_add(window),
@@ -841,7 +840,7 @@
 
     /// Whether a request that was sent before may be sent again: effect, attempts, budget.
     fn may_try_again(&self, r: &Request) -> bool {
-        let harmless = self.now < self.harmless_until(r);
+        let harmless = self.now < self.safe_until(r);
         let budget = self.cfg.rules.retry_budget.is_none_or(|b| {
             // Both counts over the same window; strictly inside it for ours, or a tick could break the rule.
             let since = self.now.saturating_sub(b.look_back);
