--- a/crates/http/src/gate.rs
+++ b/crates/http/src/gate.rs
@@ -14,6 +14,7 @@
     /// Those without a request open, oldest first: first those that never sent one.
     fresh: BTreeMap<u64, Rc<Event>>,
     idle: BTreeMap<u64, Rc<Event>>,
+    ending: bool,
     closing: bool,
 }
 
@@ -36,11 +37,16 @@
         (inner.open, inner.open - inner.fresh.len() - inner.idle.len())
     }
 
+    /// Whether all places are taken.
+    pub(crate) fn is_full(&self) -> bool {
+        self.inner.borrow().open >= self.most
+    }
+
     /// Waits until one more may come; tells one without a request to go where all places are taken.
     pub(crate) async fn room(&self) {
         loop {
             let freed = self.freed.listen();
-            if self.inner.borrow().open < self.most {
+            if !self.is_full() {
                 return;
             }
             self.make_room();
@@ -56,10 +62,16 @@
         one.into_iter().for_each(|bell| _ = bell.notify(usize::MAX));
     }
 
+    /// From now on each answer says that its connection ends behind it, so that no client sends into a close.
+    /// Connections without a request may still send one.
+    pub fn announce_end(&self) {
+        self.inner.borrow_mut().ending = true;
+    }
+
     /// Tells all without a request to go, now and later.
     pub fn close_idle(&self) {
         let mut inner = self.inner.borrow_mut();
-        inner.closing = true;
+        (inner.ending, inner.closing) = (true, true);
         let all = std::mem::take(&mut inner.fresh)
             .into_values()
             .chain(std::mem::take(&mut inner.idle).into_values());
@@ -93,6 +105,16 @@
         self.fresh.get()
     }
 
+    /// Whether its next answer is to be its last.
+    pub(crate) fn is_ending(&self) -> bool {
+        self.gate.inner.borrow().ending
+    }
+
+    /// Whether it was told to go because the server ends, and not to make room.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.gate.inner.borrow().closing
+    }
+
     /// Whether it has no request open.
     pub(crate) fn rests(&self) -> bool {
         self.rests.get()
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,10 +4,10 @@
 use std::cell::Cell;
 use std::future::Future;
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future};
@@ -19,6 +19,16 @@
 use crate::spawn::Spawner;
 use crate::ticks::Ticks;
 
+/// Pause after an accept that failed.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// Time in which what waits in the kernel is accepted once a server stops.
+const EMPTY_WITHIN: Duration = Duration::from_secs(1);
+/// A connection that the server closes is read on for so long, and to so many bytes: a close over unread bytes resets
+/// it, and takes away what the client has not read yet.
+const PARTING: (Duration, u64) = (Duration::from_millis(300), 1 << 20);
+/// Bytes that a sender of what is no request may still send.
+const LINGER_BYTES: u64 = 256 << 20;
+
 /// What a server does with a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -39,7 +49,9 @@
     pub stalled: Duration,
     /// Time for which a sender of what is no request is still read from, so that its answer reaches it.
     pub linger: Duration,
-    /// A client that closes has left: its handler is dropped. Such a handler must bear that at any wait.
+    /// A client that closes, also one that closes only its sending side, has left: its handler is dropped. Such a
+    /// handler must bear that at any wait. TCP shows both closes alike until something is written, and a client that
+    /// waits no longer may have no other way to say so.
     pub watch: bool,
 }
 
@@ -91,33 +103,83 @@
     handler: Handler,
     spawner: Spawner,
 ) -> io::Result<()> {
-    serve_at(listener, config, handler, spawner, &Rc::new(Gate::new(config.connections))).await
+    let gate = Rc::new(Gate::new(config.connections));
+    serve_until(listener, config, handler, spawner, &gate, future::pending()).await;
+    Ok(())
 }
 
-/// The same at a gate of the caller's, through which its connections can be seen and closed.
-pub async fn serve_at(
+/// The same at a gate of the caller's, through which its connections can be seen and closed, until it is told to stop.
+/// What the kernel has accepted by then is served too: a listener that is dropped resets it, requests and all.
+pub async fn serve_until(
     listener: Async<TcpListener>,
     config: Config,
     handler: Handler,
     spawner: Spawner,
     gate: &Rc<Gate>,
-) -> io::Result<()> {
-    let ticks = Ticks::new(&spawner);
-    let incoming = Rc::new(Cell::new(0u64));
-    loop {
-        gate.room().await;
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            // Out of descriptors, or the peer has gone again: what is open goes on.
-            Err(_) => {
-                gate.make_room();
-                Timer::after(Duration::from_millis(20)).await;
+    stop: impl Future<Output = ()>,
+) {
+    let server = Server {
+        config,
+        handler,
+        ticks: Ticks::new(&spawner),
+        incoming: Rc::new(Cell::new(0u64)),
+        spawner,
+        gate: gate.clone(),
+    };
+    future::or(stop, server.accept(&listener)).await;
+    server.empty(&listener).await;
+}
+
+/// What the connections of one server share.
+struct Server {
+    config: Config,
+    handler: Handler,
+    ticks: Ticks,
+    incoming: Rc<Cell<u64>>,
+    spawner: Spawner,
+    gate: Rc<Gate>,
+}
+
+impl Server {
+    /// Accepts for ever.
+    async fn accept(&self, listener: &Async<TcpListener>) {
+        loop {
+            self.gate.room().await;
+            match listener.accept().await {
+                Ok((stream, _)) => self.open(stream),
+                // Out of descriptors, or the peer has gone again: what is open goes on.
+                Err(_) => {
+                    self.gate.make_room();
+                    Timer::after(ACCEPT_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    /// Accepts what the kernel has accepted already, as far as there comes to be room for it in time.
+    async fn empty(&self, listener: &Async<TcpListener>) {
+        let until = Instant::now() + EMPTY_WITHIN;
+        while Instant::now() < until {
+            if self.gate.is_full() {
+                self.gate.make_room();
+                Timer::after(ACCEPT_AGAIN).await;
                 continue;
             }
-        };
-        let seat = gate.enter();
-        let (handler, ticks, incoming) = (handler.clone(), ticks.clone(), incoming.clone());
-        spawner.spawn(async move {
+            match listener.get_ref().accept().map(|(stream, _)| Async::new(stream)) {
+                Ok(Ok(stream)) => self.open(stream),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Ok(Err(_)) | Err(_) => {
+                    self.gate.make_room();
+                    Timer::after(ACCEPT_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    fn open(&self, stream: Async<TcpStream>) {
+        let (seat, config) = (self.gate.enter(), self.config);
+        let (handler, ticks, incoming) = (self.handler.clone(), self.ticks.clone(), self.incoming.clone());
+        self.spawner.spawn(async move {
             let _ = stream.get_ref().set_nodelay(true);
             let _ = converse(stream, config, &handler, &ticks, &incoming, &seat).await;
         });
@@ -142,20 +204,22 @@
         let (request, keep) = match next_request(&mut s, &mut decoder, &config, ticks, incoming, seat).await?
         {
             Ok(Some(next)) => next,
+            Ok(None) if seat.is_closing() => return part(s, PARTING.0, PARTING.1, ticks).await,
             Ok(None) => return Ok(()),
             Err(e) => {
                 let answer = Response::text(e.status(), &e.to_string());
                 write_all(&mut s, &answer.encode(true), config.stalled, ticks).await?;
-                return linger(s, config.linger, ticks).await;
+                return part(s, config.linger, LINGER_BYTES, ticks).await;
             }
         };
+        let overrun = Cell::new(false);
         let head_only = request.method == crate::message::Method::Head;
         let reply = match config.watch {
             false => Some(handler(request).await),
             true => {
                 let answered = async { Some(handler(request).await) };
                 let left = async {
-                    gone(&mut s, &mut decoder, config.limits.head).await;
+                    gone(&mut s, &mut decoder, config.limits.head, &overrun).await;
                     None
                 };
                 future::or(answered, left).await
@@ -164,13 +228,14 @@
         let Some(reply) = reply else { return Ok(()) };
         match reply {
             Reply::Send(response) => {
+                let keep = keep && !overrun.get() && !seat.is_ending();
                 let mut bytes = response.encode(!keep);
                 if head_only {
                     bytes.truncate(bytes.len() - response.body.len());
                 }
                 write_all(&mut s, &bytes, config.stalled, ticks).await?;
                 if !keep {
-                    return s.close().await;
+                    return part(s, PARTING.0, PARTING.1, ticks).await;
                 }
             }
             Reply::Close => return Ok(()),
@@ -183,28 +248,42 @@
     }
 }
 
-/// Ends once the peer has closed. What it sends meanwhile is kept for the next request, up to a bound; past that
-/// one nothing more is read, and nothing seen.
-async fn gone(s: &mut Async<TcpStream>, decoder: &mut Decoder, most: usize) {
+/// Ends once the peer has closed. What it sends meanwhile is kept for the next request, up to a bound. Past that one it
+/// is read and dropped, so that the peer's end is still seen, and its connection has no further request.
+async fn gone(s: &mut Async<TcpStream>, decoder: &mut Decoder, most: usize, overrun: &Cell<bool>) {
     let mut kept = 0;
-    while kept <= most {
-        match read_into(s, decoder).await {
+    loop {
+        let read = match overrun.get() {
+            true => discard(s).await,
+            false => read_into(s, decoder).await,
+        };
+        match read {
             Ok(0) | Err(_) => return,
             Ok(n) => kept += n,
         }
+        overrun.set(kept > most);
+        // A peer that sends without a pause must not keep the thread from all others.
+        future::yield_now().await;
     }
-    future::pending().await
 }
 
-/// Closes gently after an error answer: a reset would take the answer away from a peer that still writes.
-async fn linger(mut s: Async<TcpStream>, time: Duration, ticks: &Ticks) -> io::Result<()> {
-    s.close().await?;
-    ticks
-        .within(time, async {
-            while discard(&mut s).await? > 0 {}
-            Ok(())
-        })
-        .await
+/// Closes gently: says that nothing more comes, and reads on within a bound of time and bytes until the client has
+/// closed too. A close over unread bytes would reset the connection, and take away an answer that is not read yet.
+async fn part(mut s: Async<TcpStream>, time: Duration, bytes: u64, ticks: &Ticks) -> io::Result<()> {
+    // Not `AsyncWriteExt::close`, which only flushes here.
+    s.get_ref().shutdown(Shutdown::Write)?;
+    let read_on = async {
+        let mut left = bytes;
+        while left > 0 {
+            match discard(&mut s).await? {
+                0 => break,
+                n => left = left.saturating_sub(n as u64),
+            }
+            future::yield_now().await;
+        }
+        Ok(())
+    };
+    ticks.within(time, read_on).await
 }
 
 type Next = Result<Option<(Request, bool)>, ParseError>;
@@ -219,21 +298,24 @@
 ) -> io::Result<Next> {
     decoder.shrink();
     let (fresh, told) = (seat.is_fresh(), seat.rest());
+    let begun = Cell::new(decoder.inside());
     let read = async {
         let limit = if fresh { config.first_byte } else { config.idle };
         if !decoder.inside() && ticks.within(limit, read_into(s, decoder)).await? == 0 {
             return Ok(Some(Ok(None)));
         }
+        begun.set(true);
         if !fresh {
             seat.work();
         }
         let share = Share { all: incoming.clone(), own: 0, most: config.incoming };
         ticks.within(config.request_within, read_request(s, decoder, share)).await.map(Some)
     };
-    // One that is told to go while a request comes in finishes that one; a first one does not.
+    // One that is told to go while a request comes in finishes that one; so does a first one where the server ends, but
+    // not where others need its place.
     let next = future::or(read, async {
         told.await;
-        if !seat.rests() {
+        if !seat.rests() || (seat.is_closing() && begun.get()) {
             future::pending::<()>().await;
         }
         Ok(None)
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,11 +1,14 @@
 //! What is to be sent to an engine, what came of it, and why nothing did.
 
 use std::io;
-use std::time::Duration;
+use std::time::Instant;
 
 use hoptiller::{Ending, LoadReport, Micros};
 use hoptiller_platform::RowsError;
-use hoptiller_platform::engine::LineError;
+use hoptiller_platform::engine::{LineError, Send};
+
+use crate::cancel::CancelToken;
+use crate::links::Listing;
 
 /// An answer, gathered whole.
 #[derive(Debug)]
@@ -25,6 +28,8 @@
     NoDescriptor,
     /// Not sent: the engine is not on the list.
     NoEngine,
+    /// Not sent: at the moment of its first byte, that spoke against it.
+    NotBegun(NotBegun),
     /// No connection came about.
     Connect(io::Error),
     /// It broke before any byte of the request was written.
@@ -45,19 +50,48 @@
     Late,
     /// Withdrawn.
     Withdrawn,
+    /// Its client left before all pages of its result were fetched.
+    Abandoned,
+}
+
+/// Why an attempt that was decided on was not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotBegun {
+    /// It was taken back, or its client has left.
+    Cancelled,
+    /// Its time was over.
+    Late,
+    /// A repeat would no longer be recognised as one.
+    WindowPassed,
+    /// Too many further attempts have begun.
+    Budget,
+    /// What the list says of the engine has changed since.
+    Relisted,
+}
+
+impl std::fmt::Display for NotBegun {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            NotBegun::Cancelled => "it was taken back",
+            NotBegun::Late => "its time was over",
+            NotBegun::WindowPassed => "a repeat would no longer be recognised",
+            NotBegun::Budget => "too many further attempts have begun",
+            NotBegun::Relisted => "the list tells something else of the engine now",
+        })
+    }
 }
 
 impl Failed {
     /// What the decision module is told.
     pub fn ending(&self) -> Ending {
         match self {
-            Failed::NoDescriptor | Failed::NoEngine | Failed::Nobody => Ending::Moot,
+            Failed::NoDescriptor | Failed::NoEngine | Failed::NotBegun(_) | Failed::Nobody => Ending::Moot,
             Failed::Connect(_) | Failed::Unsent(_) => Ending::NoConnection,
             Failed::Broken(_) => Ending::Reset,
             Failed::Line(_) | Failed::Rows(_) | Failed::Error => Ending::Bad,
             Failed::Full => Ending::Full,
             Failed::Late => Ending::Late,
-            Failed::Withdrawn => Ending::Cancelled,
+            Failed::Withdrawn | Failed::Abandoned => Ending::Cancelled,
         }
     }
 }
@@ -67,6 +101,7 @@
         match self {
             Failed::NoDescriptor => write!(f, "no descriptor was left for it"),
             Failed::NoEngine => write!(f, "the engine has gone from the list"),
+            Failed::NotBegun(why) => write!(f, "not sent: {why}"),
             Failed::Connect(e) => write!(f, "no connection: {e}"),
             Failed::Unsent(e) => write!(f, "the connection broke before it was sent: {e}"),
             Failed::Broken(e) => write!(f, "the connection broke: {e}"),
@@ -77,20 +112,23 @@
             Failed::Nobody => write!(f, "it was over before it began"),
             Failed::Late => write!(f, "no answer in time"),
             Failed::Withdrawn => write!(f, "withdrawn"),
+            Failed::Abandoned => write!(f, "its client left"),
         }
     }
 }
 
-/// What is to be sent.
+/// What is to be sent, and when it may be.
 pub struct Order<'a> {
-    /// The request's id.
-    pub id: &'a str,
-    /// Its class.
-    pub class: &'a str,
-    /// Its statement.
-    pub text: &'a str,
-    /// Priority, where one was set.
-    pub priority: Option<u8>,
-    /// How long its answer is waited for.
-    pub wait: Duration,
+    /// The request.
+    pub send: Send<'a>,
+    /// When its answer is no longer waited for.
+    pub until: Instant,
+    /// Its first byte is written before that, or not at all.
+    pub send_by: Option<Instant>,
+    /// It is not the request's first attempt.
+    pub further: bool,
+    /// Takes it back.
+    pub token: &'a CancelToken,
+    /// What the list said of the engine when it was decided on.
+    pub listing: Listing,
 }
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -4,7 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use event_listener::Event;
@@ -12,7 +12,7 @@
 use hoptiller_platform::Update;
 use hoptiller_platform::coordinator::{Frame, FrameError, Frames};
 
-/// An empty frame comes each second: without any for so long, it has stopped.
+/// An empty frame comes each second: without a whole one for so long, it has stopped. Single bytes are no sign of life.
 const SILENT: Duration = Duration::from_millis(2_200);
 const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
 /// Pauses between tries that fail, from and up to.
@@ -114,14 +114,17 @@
         limited(CONNECT_WITHIN, stream.write_all(&self.last.get().to_be_bytes())).await?;
         let mut frames = Frames::new(self.last.get());
         let mut bytes = vec![0; 8 << 10];
+        let mut heard = Instant::now();
         loop {
-            let n = limited(SILENT, stream.read(&mut bytes)).await?;
+            let left = SILENT.saturating_sub(heard.elapsed());
+            let n = limited(left, stream.read(&mut bytes)).await?;
             if n == 0 {
                 return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
             }
             frames.feed(&bytes[..n]);
             while let Some(frame) = frames.next().map_err(Broken::Frame)? {
                 *self.pause.borrow_mut() = PAUSE.0;
+                heard = Instant::now();
                 if let Frame::Next(update) = frame {
                     self.last.set(update.number);
                     told(update);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -2,10 +2,9 @@
 
 use std::cell::RefCell;
 use std::collections::HashSet;
-use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Async;
 use hoptiller_http::gate::Gate;
@@ -18,6 +17,7 @@
 use hoptiller_runaway::Announced;
 
 use crate::budget::Budget;
+use crate::retries::Retries;
 
 /// What is no request gets its answer, or a close, within 3 s of connecting.
 const REQUEST_WITHIN: Duration = Duration::from_millis(2_300);
@@ -48,14 +48,21 @@
     pub names: Rc<Names>,
     /// How the router's means are divided.
     pub budget: Budget,
+    /// Further attempts are rationed by the requests taken.
+    pub retries: Rc<Retries>,
     /// Ids of requests that are open.
     pub open_ids: OpenIds,
     /// What its tasks are started with.
     pub ex: Spawner,
 }
 
-/// Answers clients for ever.
-pub async fn serve(front: Rc<Front>, listener: Async<TcpListener>, gate: Rc<Gate>) -> io::Result<()> {
+/// Answers clients until it is told to stop, and then those who have connected by then.
+pub async fn serve(
+    front: Rc<Front>,
+    listener: Async<TcpListener>,
+    gate: Rc<Gate>,
+    stop: impl Future<Output = ()>,
+) {
     let config = Config {
         limits: Limits { head: 8 << 10, fields: 40, target: 256, body: BODY },
         connections: front.budget.clients,
@@ -72,7 +79,7 @@
         let me = me.clone();
         Box::pin(async move { Reply::Send(answer(&me, request).await) })
     });
-    server::serve_at(listener, config, handler, front.ex.clone(), &gate).await
+    server::serve_until(listener, config, handler, front.ex.clone(), &gate, stop).await;
 }
 
 async fn answer(front: &Rc<Front>, request: Request) -> Response {
@@ -124,8 +131,14 @@
         announced: Announced::default(),
         repeat: call.repeat,
         patience: Some(call.patience),
-        work: Rc::new(Work { text: call.text, fields: vec![("Trace-Id".into(), call.id)] }),
+        work: Rc::new(Work {
+            text: call.text,
+            fields: std::iter::once(("Trace-Id".into(), call.id))
+                .chain(call.replay_key.map(|key| ("Replay-Key".into(), key)))
+                .collect(),
+        }),
     };
+    front.retries.taken(Instant::now());
     let Ok(id) = front.rounds.with(|core, now| core.submit(now, submission)) else {
         front.open_ids.0.borrow_mut().remove(&name);
         return call::refused(None);
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -3,6 +3,9 @@
 //!
 //! What is told of an attempt is what is sure: it never ran where not one byte of it was written, or the engine says
 //! so; else it may have run.
+//!
+//! A connection may take long to come about. Whether an attempt may begin is looked at right before its first byte, by
+//! the list, the clock and the client as they are then.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -13,19 +16,49 @@
 
 use async_io::{Async, Timer};
 use event_listener::Event;
-use futures_lite::{AsyncReadExt, AsyncWrite, AsyncWriteExt, future};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use hoptiller::{EngineId, LoadReport};
-use hoptiller_platform::engine::{self, Served};
+use hoptiller_platform::engine::{self, LineError, Served};
 use hoptiller_platform::{Gather, Lines, Member, Phase, Said};
 
-use crate::attempt::{Failed, Order, Whole};
-
-/// An engine.
-struct Target {
+use crate::attempt::{Failed, NotBegun, Order, Whole};
+use crate::cancel::CancelToken;
+use crate::retries::Retries;
+
+/// Ids that a connection has carried at most: it never carries one twice, as a late or second answer to the first time
+/// would be taken for one to the second.
+const CARRIED: usize = 256;
+/// Bytes that one request may make a connection bring. A result and its copy are far less.
+const READ: usize = 512 << 10;
+/// Bytes that may have come over a connection while it was idle.
+const READ_IDLE: usize = 64 << 10;
+
+/// What the list says of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listing {
     addr: SocketAddr,
     /// Its start as told: another one is another process.
     started_ms: u64,
-    gone: bool,
+    phase: Phase,
+}
+
+impl Listing {
+    fn of(m: &Member) -> Listing {
+        Listing { addr: m.addr, started_ms: m.started_ms, phase: m.phase }
+    }
+
+    fn is_gone(&self) -> bool {
+        self.phase == Phase::Gone
+    }
+
+    fn is_same_process(&self, other: &Listing) -> bool {
+        (self.addr, self.started_ms) == (other.addr, other.started_ms)
+    }
+}
+
+/// An engine.
+struct Target {
+    listing: Listing,
     /// Attempts and probes under way.
     used: usize,
     /// Idle connections, the one used last at the end.
@@ -37,8 +70,12 @@
     stream: Async<TcpStream>,
     lines: Lines,
     since: Instant,
-    /// The request it carried last: a late or second answer to that one may still come.
-    carried: String,
+    /// The process it leads to.
+    listing: Listing,
+    /// The requests that it carried; a late or second answer to each may still come.
+    carried: Vec<u64>,
+    /// Bytes that the present request made it bring.
+    read: usize,
     _place: Place,
 }
 
@@ -74,27 +111,27 @@
     held: Rc<Cell<u64>>,
     freed: Event,
     probes: Cell<u64>,
+    retries: Rc<Retries>,
 }
 
 impl Links {
     /// To nobody yet.
-    pub fn new(manner: Manner) -> Links {
+    pub fn new(manner: Manner, retries: Rc<Retries>) -> Links {
         let (targets, open, held) = Default::default();
-        Links { manner, targets, open, held, freed: Event::new(), probes: Cell::new(0) }
+        Links { manner, targets, open, held, freed: Event::new(), probes: Cell::new(0), retries }
     }
 
     /// News of an engine. By its id, not its address: another one may get that.
     pub fn told(&self, m: &Member) {
         let mut targets = self.targets.borrow_mut();
-        let id = EngineId(m.id);
-        let (addr, started_ms, gone) = (m.addr, m.started_ms, m.phase == Phase::Gone);
-        let fresh = || Target { addr, started_ms, gone, used: 0, idle: Vec::new() };
+        let (id, listing) = (EngineId(m.id), Listing::of(m));
+        let fresh = || Target { listing, used: 0, idle: Vec::new() };
         let target = targets.entry(id).or_insert_with(fresh);
-        if target.addr != addr || target.started_ms != started_ms || gone {
+        if !target.listing.is_same_process(&listing) || listing.is_gone() {
             target.idle.clear();
         }
-        (target.addr, target.started_ms, target.gone) = (addr, started_ms, gone);
-        if gone && target.used == 0 {
+        target.listing = listing;
+        if listing.is_gone() && target.used == 0 {
             targets.remove(&id);
         }
     }
@@ -102,14 +139,19 @@
     /// Engines that were listed before and are not on a whole list have gone.
     pub fn keep_only(&self, listed: &[Member]) {
         self.targets.borrow_mut().retain(|id, t| {
-            t.gone |= !listed.iter().any(|m| m.id == id.0);
-            if t.gone {
+            if !listed.iter().any(|m| m.id == id.0) {
+                t.listing.phase = Phase::Gone;
                 t.idle.clear();
             }
-            !t.gone || t.used > 0
+            !t.listing.is_gone() || t.used > 0
         });
     }
 
+    /// What the list says of an engine; `None`: it has gone, or was never there.
+    pub fn listing(&self, engine: EngineId) -> Option<Listing> {
+        self.targets.borrow().get(&engine).map(|t| t.listing).filter(|l| !l.is_gone())
+    }
+
     /// Connections open, and engines known.
     pub fn sizes(&self) -> (usize, usize) {
         (self.open.get(), self.targets.borrow().len())
@@ -124,39 +166,41 @@
         self.freed.notify(usize::MAX);
     }
 
-    /// Sends a request and gathers its result. `stop` ends the wait.
-    pub async fn attempt(&self, engine: EngineId, order: &Order<'_>, stop: &Event) -> Result<Whole, Failed> {
+    /// Sends a request and gathers its result, until it is taken back.
+    pub async fn attempt(&self, engine: EngineId, order: &Order<'_>) -> Result<Whole, Failed> {
         let _use = self.enter(engine).ok_or(Failed::NoEngine)?;
-        let stopped = stop.listen();
-        let work = self.exchange(engine, order);
+        let over = |begun, not_begun| match order.token.has_begun() {
+            true => Err(begun),
+            false => Err(Failed::NotBegun(not_begun)),
+        };
         let late = async {
-            Timer::after(order.wait).await;
-            Err(Failed::Late)
+            Timer::at(order.until).await;
+            over(Failed::Late, NotBegun::Late)
         };
-        let withdrawn = async {
-            stopped.await;
-            Err(Failed::Withdrawn)
+        let cancelled = async {
+            order.token.cancelled().await;
+            over(Failed::Withdrawn, NotBegun::Cancelled)
         };
         // A connection that is dropped here with its request open is closed: that gives the request up.
-        future::or(work, future::or(late, withdrawn)).await
+        future::or(self.exchange(engine, order), future::or(late, cancelled)).await
     }
 
     async fn exchange(&self, engine: EngineId, order: &Order<'_>) -> Result<Whole, Failed> {
-        let wait_ms = order.wait.as_millis().max(1) as u64;
-        let line = engine::request(order.id, order.class, wait_ms, order.priority, order.text);
+        let key = key_of(order.send.id);
         let mut link = loop {
-            let (mut link, used_before) = self.link(engine, order.id).await?;
-            match write(&mut link.stream, line.as_bytes()).await {
+            let (mut link, used_before) = self.link(engine, Some(key)).await?;
+            match self.send(engine, order, &mut link).await {
                 Ok(()) => break link,
                 // An idle one that the engine had closed: nothing was sent, and there are others.
-                Err((0, _)) if used_before => {}
-                Err((0, e)) => return Err(Failed::Unsent(e)),
-                Err((_, e)) => return Err(Failed::Broken(e)),
+                Err(Failed::Unsent(_)) if used_before => {}
+                // The connection is good, and paid for.
+                Err(Failed::NotBegun(why)) => return self.refused(engine, link, Failed::NotBegun(why)),
+                Err(why) => return Err(why),
             }
         };
-        link.carried = order.id.to_owned();
+        link.carried.push(key);
         let served = loop {
-            match link.answer(order.id).await? {
+            match link.answer(order.send.id).await? {
                 Said::Served(served) => break served,
                 Said::Full => return self.refused(engine, link, Failed::Full),
                 Said::Error => return self.refused(engine, link, Failed::Error),
@@ -165,24 +209,75 @@
             }
         };
         let (work, report) = (served.work, served.report);
-        let rows = self.gather(&mut link, order.id, served).await?;
+        let rows = match self.gather(&mut link, order, served).await {
+            Err(Failed::Abandoned) => return self.refused(engine, link, Failed::Abandoned),
+            rows => rows?,
+        };
         self.give_back(engine, link);
         Ok(Whole { rows, work, report })
     }
 
+    /// Writes a request. Its first byte goes out at a moment at which nothing speaks against it; how long its answer is
+    /// waited for is told as of then.
+    async fn send(&self, engine: EngineId, order: &Order<'_>, link: &mut Link) -> Result<(), Failed> {
+        let (line, written) = loop {
+            self.may_begin(engine, order).map_err(Failed::NotBegun)?;
+            let wait_ms = order.until.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
+            let line = engine::request(&order.send, wait_ms);
+            match io::Write::write(&mut link.stream.get_ref(), line.as_bytes()) {
+                Ok(0) => return Err(Failed::Unsent(io::ErrorKind::WriteZero.into())),
+                Ok(n) => break (line, n),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    link.stream.writable().await.map_err(Failed::Unsent)?;
+                }
+                Err(e) => return Err(Failed::Unsent(e)),
+            }
+        };
+        order.token.begin();
+        if order.further {
+            self.retries.begun(Instant::now());
+        }
+        link.stream.write_all(&line.as_bytes()[written..]).await.map_err(Failed::Broken)
+    }
+
+    /// Whether an attempt may begin now. Danger: between the decision and a connection lies time, in which clients
+    /// leave, engines drain or give their address to another, and windows pass.
+    fn may_begin(&self, engine: EngineId, order: &Order<'_>) -> Result<(), NotBegun> {
+        let now = Instant::now();
+        if order.token.is_cancelled() {
+            Err(NotBegun::Cancelled)
+        } else if now >= order.until {
+            Err(NotBegun::Late)
+        } else if order.send_by.is_some_and(|by| now >= by) {
+            Err(NotBegun::WindowPassed)
+        } else if order.further && !self.retries.may_begin(now) {
+            Err(NotBegun::Budget)
+        } else if self.listing(engine) != Some(order.listing) {
+            Err(NotBegun::Relisted)
+        } else {
+            Ok(())
+        }
+    }
+
     fn refused<T>(&self, engine: EngineId, link: Link, why: Failed) -> Result<T, Failed> {
         self.give_back(engine, link);
         Err(why)
     }
 
     /// Fetches the further pages, all at once, while there is room for them.
-    async fn gather(&self, link: &mut Link, id: &str, served: Served) -> Result<String, Failed> {
+    async fn gather(&self, link: &mut Link, order: &Order<'_>, served: Served) -> Result<String, Failed> {
+        let id = order.send.id;
         let mut gather = Gather::new(served.pages);
         gather.take(0, served.page).map_err(Failed::Rows)?;
         if served.pages > 1 {
-            let _share = self.room(served.pages as u64 * hoptiller_platform::rows::PAGE as u64).await;
+            let bytes = served.pages as u64 * hoptiller_platform::rows::PAGE as u64;
+            let Some(_share) = self.room(bytes, order.token).await else {
+                link.stream.write_all(engine::end(id).as_bytes()).await.map_err(Failed::Broken)?;
+                return Err(Failed::Abandoned);
+            };
             let lines: String = (1..served.pages).map(|page| engine::fetch(id, page)).collect();
-            write(&mut link.stream, lines.as_bytes()).await.map_err(|(_, e)| Failed::Broken(e))?;
+            link.stream.write_all(lines.as_bytes()).await.map_err(Failed::Broken)?;
             while !gather.is_whole() {
                 match link.answer(id).await? {
                     Said::Rows(number, page) => gather.take(number, page).map_err(Failed::Rows)?,
@@ -195,14 +290,17 @@
         gather.json().map_err(Failed::Rows)
     }
 
-    /// Waits for room for a result.
-    async fn room(&self, bytes: u64) -> Share {
+    /// Waits for room for a result; `None` once nobody waits for that.
+    async fn room(&self, bytes: u64, token: &CancelToken) -> Option<Share> {
         loop {
+            if token.is_abandoned() {
+                return None;
+            }
             let freed = self.freed.listen();
             let held = self.held.get();
             if held == 0 || held + bytes <= self.manner.held {
                 self.held.set(held + bytes);
-                return Share { held: self.held.clone(), bytes };
+                return Some(Share { held: self.held.clone(), bytes });
             }
             future::or(freed, async { _ = Timer::after(Duration::from_millis(20)).await }).await;
         }
@@ -214,8 +312,8 @@
         self.probes.set(self.probes.get() + 1);
         let tag = format!("load-{}", self.probes.get());
         let work = async {
-            let (mut link, _) = self.link(engine, &tag).await.ok()?;
-            write(&mut link.stream, engine::stat(&tag).as_bytes()).await.ok()?;
+            let (mut link, _) = self.link(engine, None).await.ok()?;
+            link.stream.write_all(engine::stat(&tag).as_bytes()).await.ok()?;
             loop {
                 if let Said::Probed(report) = link.answer(&tag).await.ok()? {
                     self.give_back(engine, link);
@@ -231,19 +329,20 @@
     }
 
     fn enter(&self, engine: EngineId) -> Option<Use<'_>> {
-        self.targets.borrow_mut().get_mut(&engine)?.used += 1;
+        self.targets.borrow_mut().get_mut(&engine).filter(|t| !t.listing.is_gone())?.used += 1;
         Some(Use { links: self, engine })
     }
 
-    /// A connection to an engine, and whether it was used before.
-    async fn link(&self, engine: EngineId, id: &str) -> Result<(Link, bool), Failed> {
+    /// A connection to an engine that has not carried this request, and whether it was used before.
+    async fn link(&self, engine: EngineId, key: Option<u64>) -> Result<(Link, bool), Failed> {
         loop {
-            let Some(mut link) = self.take_idle(engine, id) else { break };
+            let Some(mut link) = self.take_idle(engine, key) else { break };
             if link.is_sound() {
                 return Ok((link, true));
             }
         }
-        let addr = self.targets.borrow().get(&engine).map(|t| t.addr).ok_or(Failed::NoEngine)?;
+        let listing = self.listing(engine).ok_or(Failed::NoEngine)?;
+        let addr = listing.addr;
         let until = Instant::now() + self.manner.connect_within;
         let place = self.place(until).await.ok_or(Failed::NoDescriptor)?;
         let connect = Async::<TcpStream>::connect(addr);
@@ -254,14 +353,15 @@
         let stream = stream.await.map_err(Failed::Connect)?;
         let _ = stream.get_ref().set_nodelay(true);
         let (lines, since) = (Lines::default(), Instant::now());
-        Ok((Link { stream, lines, since, carried: String::new(), _place: place }, false))
+        let (carried, read) = (Vec::new(), 0);
+        Ok((Link { stream, lines, since, listing, carried, read, _place: place }, false))
     }
 
     /// Danger: a late answer to an earlier attempt of the same request must not be taken for this one's.
-    fn take_idle(&self, engine: EngineId, id: &str) -> Option<Link> {
+    fn take_idle(&self, engine: EngineId, key: Option<u64>) -> Option<Link> {
         let mut targets = self.targets.borrow_mut();
         let idle = &mut targets.get_mut(&engine)?.idle;
-        let at = idle.iter().rposition(|l| l.carried != id)?;
+        let at = idle.iter().rposition(|l| key.is_none_or(|key| !l.carried.contains(&key)))?;
         Some(idle.remove(at))
     }
 
@@ -302,18 +402,21 @@
 
     fn give_back(&self, engine: EngineId, mut link: Link) {
         link.lines.shrink();
-        link.since = Instant::now();
-        if let Some(t) = self.targets.borrow_mut().get_mut(&engine).filter(|t| !t.gone)
-            && link.stream.get_ref().peer_addr().is_ok_and(|peer| peer == t.addr)
+        (link.since, link.read) = (Instant::now(), 0);
+        if let Some(t) = self.targets.borrow_mut().get_mut(&engine)
+            && !t.listing.is_gone()
+            && t.listing.is_same_process(&link.listing)
+            && link.carried.len() < CARRIED
         {
             t.idle.push(link);
         }
-        self.freed.notify(1);
+        // Danger: to wake one at a time would lose a wake-up where two are given back before the first has run.
+        self.freed.notify(usize::MAX);
     }
 }
 
 impl Link {
-    /// The next answer to this request; others are passed over.
+    /// The next answer to this request; others are passed over, up to a bound.
     async fn answer(&mut self, id: &str) -> Result<Said, Failed> {
         loop {
             while let Some(answer) = self.lines.next().map_err(Failed::Line)? {
@@ -324,7 +427,12 @@
             let mut bytes = [0; 4096];
             match self.stream.read(&mut bytes).await {
                 Ok(0) => return Err(Failed::Broken(io::ErrorKind::UnexpectedEof.into())),
-                Ok(n) => self.lines.feed(&bytes[..n]),
+                // Danger: an engine that sends without end would keep the thread from all others.
+                Ok(n) if self.read + n > READ => return Err(Failed::Line(LineError::TooLong)),
+                Ok(n) => {
+                    self.read += n;
+                    self.lines.feed(&bytes[..n]);
+                }
                 Err(e) => return Err(Failed::Broken(e)),
             }
         }
@@ -332,11 +440,15 @@
 
     /// Whether it can carry a request: it is open, and what came meanwhile can be passed over.
     fn is_sound(&mut self) -> bool {
-        let mut bytes = [0; 4096];
+        let (mut bytes, mut read) = ([0; 4096], 0);
         loop {
             match io::Read::read(&mut self.stream.get_ref(), &mut bytes) {
                 Ok(0) => return false,
-                Ok(n) => self.lines.feed(&bytes[..n]),
+                Ok(n) if read + n > READ_IDLE => return false,
+                Ok(n) => {
+                    read += n;
+                    self.lines.feed(&bytes[..n]);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(_) => return false,
             }
@@ -358,12 +470,12 @@
         let mut targets = self.links.targets.borrow_mut();
         if let Some(t) = targets.get_mut(&self.engine) {
             t.used -= 1;
-            if t.gone && t.used == 0 {
+            if t.listing.is_gone() && t.used == 0 {
                 targets.remove(&self.engine);
             }
         }
         drop(targets);
-        self.links.freed.notify(1);
+        self.links.freed.notify(usize::MAX);
     }
 }
 
@@ -379,15 +491,7 @@
     }
 }
 
-/// Writes all, or tells how much was written before it broke.
-async fn write<S: AsyncWrite + Unpin>(s: &mut S, bytes: &[u8]) -> Result<(), (usize, io::Error)> {
-    let mut done = 0;
-    while done < bytes.len() {
-        match s.write(&bytes[done..]).await {
-            Ok(0) => return Err((done, io::ErrorKind::WriteZero.into())),
-            Ok(n) => done += n,
-            Err(e) => return Err((done, e)),
-        }
-    }
-    Ok(())
+/// An id as connections remember it.
+fn key_of(id: &str) -> u64 {
+    u64::from_str_radix(id, 16).unwrap_or_else(|_| hoptiller_router::core::group_of(id))
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,36 +1,48 @@
 //! Owns a running router on our platform: ties the core to clients, engines and the coordinator.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::{Rc, Weak};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_io::Timer;
 use event_listener::Event;
-use futures_lite::future;
 use hoptiller::{EngineId, Entry, Micros, Readiness, Scope};
 use hoptiller_http::gate::Gate;
 use hoptiller_http::{Spawner, server};
+use hoptiller_platform::call::ClassTerms;
+use hoptiller_platform::engine::Send;
 use hoptiller_platform::{Config, ConfigError, Names, Phase, Update};
 use hoptiller_router::core::{self, Attempt, Bounds, Command, Core, Ended, Page, StatementId};
 use hoptiller_router::rounds::{Carry, Rounds};
 use serde_json::value::RawValue;
 
-use crate::attempt::Order;
+use crate::attempt::{Failed, Order};
 use crate::budget::Budget;
+use crate::cancel::CancelToken;
 use crate::follower::Follower;
 use crate::front::{self, Front, OpenIds};
-use crate::links::{Links, Manner};
+use crate::links::{Links, Listing, Manner};
+use crate::retries::Retries;
 
 /// For the last attempt's end, the decision and the answer before a client gives up.
 const ANSWER_MARGIN: Micros = 30_000;
 /// After SIGTERM requests still come for so long, and are served like before.
 const LATE_COMERS: Duration = Duration::from_millis(900);
-/// A file that can't be read after SIGHUP may be half written: it is tried again after this time.
+/// Then nothing more is accepted, and connections that were accepted last have so long to send their first byte.
+const LAST_ACCEPTED: Duration = Duration::from_millis(100);
+/// SIGKILL comes no sooner after SIGTERM than the longest patience of a class, or this time where that is less, and 0.7 s
+/// more. What is not answered so long before that is given up, which its client is told.
+const KILL: Duration = Duration::from_secs(3);
+const GIVE_UP_AFTER: Duration = Duration::from_millis(450);
+/// Pause between looks at whether all is answered.
+const LOOK: Duration = Duration::from_millis(20);
+/// A file that can't be read after SIGHUP may be half written: it is tried again after this time, and so many times.
 const READ_AGAIN: Duration = Duration::from_millis(100);
+const READ_TRIES: usize = 100;
 
 /// Why a router does not start.
 #[derive(Debug)]
@@ -41,6 +53,8 @@
     Config(ConfigError),
     /// Settings that the decision module can't work with.
     Settings(hoptiller::SettingsError),
+    /// After SIGHUP: it is the file of another router.
+    Other(String),
 }
 
 impl std::fmt::Display for StartError {
@@ -49,6 +63,7 @@
             StartError::File(e) => write!(f, "can't be read: {e}"),
             StartError::Config(e) => write!(f, "{e}"),
             StartError::Settings(e) => write!(f, "settings: {e}"),
+            StartError::Other(name) => write!(f, "name: it is for the router {name}"),
         }
     }
 }
@@ -59,6 +74,7 @@
 pub struct Node {
     me: Weak<Node>,
     file: PathBuf,
+    name: String,
     listen: SocketAddr,
     rounds: Rc<Rounds>,
     names: Rc<Names>,
@@ -67,11 +83,16 @@
     follower: Follower,
     ex: Spawner,
     gate: Rc<Gate>,
-    /// Attempts under way, and what withdraws each.
-    under_way: RefCell<HashMap<(StatementId, u32), Rc<Event>>>,
+    /// Attempts under way, from the decision on, and what takes each back.
+    under_way: RefCell<BTreeMap<(StatementId, u32), Rc<CancelToken>>>,
+    /// How often the file was to be read again: the last one to ask reads it.
+    reloads: Cell<u64>,
     /// Where the core's clock stands against Unix time.
     unix: Unix,
     stop_accepting: Event,
+    accepting: Cell<bool>,
+    /// What is not answered so long after the end began is given up.
+    give_up_after: Duration,
 }
 
 /// The core's clock against Unix time.
@@ -91,6 +112,12 @@
     }
 }
 
+/// What clients may ask for of a class.
+fn terms(name: &str, class: &hoptiller::Class) -> ClassTerms {
+    let keyed = matches!(class.effect, hoptiller::Effect::Keyed { .. });
+    ClassTerms { name: name.to_owned(), patience: class.deadline, keyed }
+}
+
 fn read(file: &std::path::Path) -> Result<Config, StartError> {
     let bytes = std::fs::read(file).map_err(StartError::File)?;
     Config::read(&bytes).map_err(StartError::Config)
@@ -109,7 +136,7 @@
         cfg.limits.max_open = if cfg.limits.max_open == 0 { most } else { cfg.limits.max_open.min(most) };
         tracing::debug!(limits = ?config.limits, settings = ?cfg, "starting");
         let names = Rc::new(Names {
-            classes: s.lanes.iter().zip(&cfg.classes).map(|(l, c)| (l.name.clone(), c.deadline)).collect(),
+            classes: s.lanes.iter().zip(&cfg.classes).map(|(l, c)| terms(&l.name, c)).collect(),
             tenants: s.tenants.iter().map(|t| t.name.clone()).collect(),
         });
         let bounds = Bounds {
@@ -131,6 +158,8 @@
             held: budget.held,
         };
         let tick = time(s.tick, 1.0);
+        let longest = cfg.classes.iter().map(|c| Duration::from_micros(c.deadline)).max().unwrap_or(KILL);
+        let retries = Rc::new(Retries::new(cfg.rules.retry_budget));
         let core_names = core::Names { router: config.name.clone(), life: config.seed.clone() };
         let core = Core::new(cfg, config.seed(), bounds, None, core_names).map_err(StartError::Settings)?;
         let node = Rc::new_cyclic(|me: &Weak<Node>| {
@@ -141,23 +170,28 @@
                 rounds: rounds.clone(),
                 names: names.clone(),
                 budget,
+                retries: retries.clone(),
                 open_ids: OpenIds::default(),
                 ex: ex.clone(),
             };
             Node {
                 me: me.clone(),
                 file,
+                name: config.name,
                 listen: config.listen,
                 rounds,
                 names,
                 front: Rc::new(front),
-                links: Links::new(manner),
+                links: Links::new(manner, retries),
                 follower: Follower::new(config.coordinator, known.number),
                 ex,
                 gate: Rc::new(Gate::new(budget.clients)),
                 under_way: RefCell::default(),
+                reloads: Cell::new(0),
                 unix,
                 stop_accepting: Event::new(),
+                accepting: Cell::new(false),
+                give_up_after: longest.min(KILL) + GIVE_UP_AFTER,
             }
         });
         node.told(Scope::Remembered, known);
@@ -183,21 +217,21 @@
             }
         });
         let (me, stop) = (self.clone(), self.stop_accepting.listen());
+        self.accepting.set(true);
         self.ex.spawn(async move {
-            let front = front::serve(me.front.clone(), listener, me.gate.clone());
-            let _ = future::or(front, async {
-                stop.await;
-                Ok(())
-            })
-            .await;
+            front::serve(me.front.clone(), listener, me.gate.clone(), stop).await;
+            me.accepting.set(false);
         });
         Ok(addr)
     }
 
-    /// Reads the file again, and follows the coordinator that it names. Keeps the old one until it can be read.
+    /// Reads the file again, and follows the coordinator that it names. Keeps the old one until it can be read, for some
+    /// time; a later call takes over from an earlier one that still tries.
     pub async fn reload(&self) {
-        loop {
-            match read(&self.file) {
+        let this = self.reloads.get() + 1;
+        self.reloads.set(this);
+        for _ in 0..READ_TRIES {
+            match self.read_again() {
                 Ok(config) => {
                     tracing::info!(coordinator = %config.coordinator, "configuration read again");
                     return self.follower.move_to(config.coordinator);
@@ -205,19 +239,34 @@
                 Err(why) => tracing::warn!(%why, "configuration: kept the old one; trying again"),
             }
             Timer::after(READ_AGAIN).await;
+            if self.reloads.get() != this {
+                return;
+            }
+        }
+        tracing::error!(file = %self.file.display(), "configuration: kept the old one; gave up reading it");
+    }
+
+    fn read_again(&self) -> Result<Config, StartError> {
+        match read(&self.file) {
+            Ok(config) if config.name != self.name => Err(StartError::Other(config.name)),
+            read => read,
         }
     }
 
-    /// Serves those who still come, then takes nothing new, finishes what it holds, and returns.
+    /// Serves those who still come, then takes nothing new, finishes what it holds, and returns. What can't be finished
+    /// in time is given up and answered so.
     pub async fn end(&self) {
+        let began = Instant::now();
+        self.gate.announce_end();
         Timer::after(LATE_COMERS).await;
         self.stop_accepting.notify(usize::MAX);
+        Timer::after(LAST_ACCEPTED).await;
         self.gate.close_idle();
-        loop {
-            Timer::after(Duration::from_millis(20)).await;
-            if self.gate.counts().1 == 0 && self.rounds.core().sizes().0 == 0 {
-                return;
+        while self.accepting.get() || self.gate.counts().1 > 0 || self.rounds.core().sizes().0 > 0 {
+            if began.elapsed() >= self.give_up_after {
+                self.with_core(|core, _| core.give_up_all());
             }
+            Timer::after(LOOK).await;
         }
     }
 
@@ -231,6 +280,16 @@
         self.follower.last()
     }
 
+    /// Attempts that were decided on and have not ended.
+    pub fn attempts(&self) -> usize {
+        self.under_way.borrow().len()
+    }
+
+    /// Connections to engines, with those that are coming up.
+    pub fn engine_connections(&self) -> usize {
+        self.links.sizes().0
+    }
+
     /// Engines known.
     pub fn engines_known(&self) -> usize {
         self.links.sizes().1
@@ -275,18 +334,23 @@
         self.with_core(|core, now| core.list(now, scope, entries));
     }
 
-    async fn attempt(self: Rc<Self>, a: Attempt) {
-        let stop = Rc::new(Event::new());
-        self.under_way.borrow_mut().insert((a.id, a.hop), stop.clone());
+    async fn attempt(self: Rc<Self>, a: Attempt, listing: Listing, token: Rc<CancelToken>) {
         let name = a.work.fields.first().map_or("", |f| f.1.as_str());
         let order = Order {
-            id: name,
-            class: &self.names.classes[a.class].0,
-            text: &a.work.text,
-            priority: a.priority,
-            wait: Duration::from_micros(a.until.saturating_sub(self.rounds.now())),
+            send: Send {
+                id: name,
+                class: &self.names.classes[a.class].name,
+                replay_key: a.work.fields.get(1).map(|f| f.1.as_str()),
+                priority: a.priority,
+                text: &a.work.text,
+            },
+            until: self.rounds.instant(a.until),
+            send_by: a.send_by.map(|at| self.rounds.instant(at)),
+            further: a.hop > 0,
+            token: &token,
+            listing,
         };
-        let came = self.links.attempt(a.engine, &order, &stop).await;
+        let came = self.links.attempt(a.engine, &order).await;
         self.under_way.borrow_mut().remove(&(a.id, a.hop));
         match came {
             Ok(whole) => {
@@ -322,11 +386,19 @@
                     until = attempt.until,
                     "send"
                 );
-                self.ex.spawn(me.attempt(attempt));
+                // What takes it back and what the list says are those of the decision, not of its task's first step.
+                let Some(listing) = self.links.listing(attempt.engine) else {
+                    let why = Failed::NoEngine;
+                    let ended = Ended { ending: why.ending(), why: why.to_string(), report: None };
+                    return self.rounds.core().ended(self.rounds.now(), attempt.id, attempt.hop, ended);
+                };
+                let token = Rc::<CancelToken>::default();
+                self.under_way.borrow_mut().insert((attempt.id, attempt.hop), token.clone());
+                self.ex.spawn(me.attempt(attempt, listing, token));
             }
             Command::Withdraw { id, hop } => {
-                if let Some(stop) = self.under_way.borrow().get(&(id, hop)) {
-                    stop.notify(usize::MAX);
+                if let Some(token) = self.under_way.borrow().get(&(id, hop)) {
+                    token.cancel();
                 }
             }
             Command::Probe(engine) => self.ex.spawn(async move {
@@ -337,6 +409,11 @@
             Command::Wake(id) => self.rounds.wake(id),
             Command::Settled { id, class, how, after, attempts } => {
                 tracing::debug!(id, class, how = how.word(), why = how.why(), after, attempts, "settled");
+                // Danger: its client has its answer, or has left. What has not begun for it must not begin.
+                self.under_way
+                    .borrow()
+                    .range((id, 0)..=(id, u32::MAX))
+                    .for_each(|(_, token)| token.abandon());
             }
             // Results come whole, so there are no further pages, and nothing is left to let go; the coordinator tells
             // of itself; runaways are not looked for here.
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -162,6 +162,79 @@
     }
 }
 
+/// An engine that a scene plays itself, line by line.
+pub struct Peer {
+    listener: Async<TcpListener>,
+    pub addr: SocketAddr,
+    /// Fills the kernel's queue: as long as it is there, connections don't come up.
+    filling: RefCell<Option<Async<TcpStream>>>,
+}
+
+impl Peer {
+    pub fn new() -> Peer {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("bound");
+        let addr = listener.get_ref().local_addr().expect("bound");
+        Peer { listener, addr, filling: RefCell::default() }
+    }
+
+    /// Connections to it stay half up until [`Peer::connections_come_up`]: its queue holds one, which is taken.
+    pub async fn late() -> Peer {
+        let peer = Peer::new();
+        rustix::net::listen(peer.listener.get_ref(), 0).expect("a shorter queue");
+        *peer.filling.borrow_mut() = Some(connect(peer.addr).await);
+        peer
+    }
+
+    /// What waits comes up when the kernel tries again, within about a second.
+    pub async fn connections_come_up(&self) {
+        rustix::net::listen(self.listener.get_ref(), 128).expect("a longer queue");
+        let filling = self.filling.borrow_mut().take();
+        let (first, _) = self.listener.accept().await.expect("the one that filled it");
+        drop((first, filling));
+    }
+
+    pub async fn accept(&self) -> Line {
+        let (stream, _) = self.listener.accept().await.expect("accepted");
+        Line { stream, bytes: Vec::new() }
+    }
+}
+
+/// A connection that a router opened to a [`Peer`].
+pub struct Line {
+    stream: Async<TcpStream>,
+    bytes: Vec<u8>,
+}
+
+impl Line {
+    /// The next command; `None` at the end.
+    pub async fn next(&mut self) -> Option<String> {
+        loop {
+            if let Some(end) = self.bytes.iter().position(|b| *b == b'\n') {
+                let rest = self.bytes.split_off(end + 1);
+                let line = std::mem::replace(&mut self.bytes, rest);
+                return Some(String::from_utf8(line).expect("text").trim_end().to_owned());
+            }
+            let mut part = [0; 4096];
+            match self.stream.read(&mut part).await {
+                Ok(0) | Err(_) => return None,
+                Ok(n) => self.bytes.extend_from_slice(&part[..n]),
+            }
+        }
+    }
+
+    /// Writes as much as the peer takes.
+    pub async fn say(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes).await;
+    }
+}
+
+/// Waits until something is seen; a scene that never sees it hangs, and fails.
+pub async fn until(seen: impl Fn() -> bool) {
+    while !seen() {
+        Timer::after(Duration::from_millis(5)).await;
+    }
+}
+
 /// Plays a scene on an executor of its own; one that hangs fails.
 pub fn play<F: Future<Output = ()>>(scene: impl FnOnce(Spawner) -> F) {
     let ex = Rc::new(LocalExecutor::new());
--- /dev/null
+++ b/crates/node/tests/links.rs
@@ -0,0 +1,360 @@
+//! Crossings at the connections to engines: what happens between the decision to send and the first byte, and what comes
+//! over a connection that is not asked for.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use common::*;
+use futures_lite::future;
+use hoptiller::EngineId;
+use hoptiller_node::attempt::{Failed, NotBegun, Order, Whole};
+use hoptiller_node::cancel::CancelToken;
+use hoptiller_node::links::{Links, Manner};
+use hoptiller_node::retries::Retries;
+use hoptiller_platform::engine::Send;
+use hoptiller_platform::{Member, Phase};
+
+const IDS: [&str; 3] = ["9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42", "9b1f03aa5c7e2d43"];
+
+fn links() -> Links {
+    let long = Duration::from_secs(20);
+    let manner = Manner { connect_within: long, idle: long, probe_within: long, most: 8, held: 1 << 20 };
+    Links::new(manner, Rc::new(Retries::new(None)))
+}
+
+fn member(addr: SocketAddr, phase: Phase, started_ms: u64) -> Member {
+    Member { id: 7, addr, zone: None, kind: None, cell: 0, phase, started_ms }
+}
+
+struct Asked {
+    token: CancelToken,
+    until: Instant,
+    send_by: Option<Instant>,
+    further: bool,
+}
+
+impl Asked {
+    fn new() -> Asked {
+        let until = Instant::now() + Duration::from_secs(15);
+        Asked { token: CancelToken::default(), until, send_by: None, further: false }
+    }
+
+    async fn of(&self, links: &Links, id: &str) -> Result<Whole, Failed> {
+        self.at(7, links, id).await
+    }
+
+    async fn at(&self, engine: u32, links: &Links, id: &str) -> Result<Whole, Failed> {
+        let listing = links.listing(EngineId(engine)).expect("listed");
+        let (until, send_by, token) = (self.until, self.send_by, &self.token);
+        let send = Send { id, class: "lookup", replay_key: None, priority: None, text: "SELECT 1" };
+        let order = Order { send, until, send_by, further: self.further, token, listing };
+        links.attempt(EngineId(engine), &order).await
+    }
+}
+
+/// What became of an attempt whose connection came up only after that had happened, and that the engine saw no line of it.
+async fn after_a_late_connection(asked: &Asked, happens: impl AsyncFnOnce(&Links, SocketAddr)) -> NotBegun {
+    let (peer, links) = (Peer::late().await, links());
+    links.told(&member(peer.addr, Phase::Ready, 0));
+    let meanwhile = async {
+        until(|| links.sizes().0 == 1).await;
+        happens(&links, peer.addr).await;
+        peer.connections_come_up().await;
+        future::pending::<()>().await;
+    };
+    let attempt = async { asked.of(&links, IDS[0]).await };
+    let came = future::or(async { Some(attempt.await) }, async {
+        meanwhile.await;
+        None
+    });
+    match came.await {
+        Some(Err(Failed::NotBegun(why))) => {
+            assert!(!asked.token.has_begun());
+            why
+        }
+        other => panic!("it was sent: {other:?}"),
+    }
+}
+
+#[test]
+fn an_attempt_that_is_taken_back_before_its_task_runs_is_never_sent() {
+    play(async |_| {
+        let (peer, links) = (Peer::new(), links());
+        links.told(&member(peer.addr, Phase::Ready, 0));
+        let asked = Asked::new();
+        asked.token.cancel();
+        let came = asked.of(&links, IDS[0]).await;
+        assert!(matches!(came, Err(Failed::NotBegun(NotBegun::Cancelled))), "{came:?}");
+    });
+}
+
+#[test]
+fn a_client_that_leaves_while_the_connection_comes_up_has_nothing_sent() {
+    play(async |_| {
+        let asked = Asked::new();
+        let why = after_a_late_connection(&asked, async |_, _| asked.token.abandon()).await;
+        assert_eq!(why, NotBegun::Cancelled);
+    });
+}
+
+#[test]
+fn what_the_list_says_at_the_moment_of_the_first_byte_decides() {
+    let changes: [fn(SocketAddr) -> Member; 4] = [
+        |addr| member(addr, Phase::Draining, 0),
+        |addr| member(addr, Phase::Gone, 0),
+        |addr| member(addr, Phase::Ready, 1_800_000_000_000),
+        |_| member(([127, 0, 0, 1], 9).into(), Phase::Ready, 0),
+    ];
+    for change in changes {
+        play(async move |_| {
+            let changed = async |links: &Links, addr| links.told(&change(addr));
+            assert_eq!(after_a_late_connection(&Asked::new(), changed).await, NotBegun::Relisted);
+        });
+    }
+    play(async |_| {
+        let left_out = async |links: &Links, _| links.keep_only(&[]);
+        assert_eq!(after_a_late_connection(&Asked::new(), left_out).await, NotBegun::Relisted);
+    });
+}
+
+#[test]
+fn a_repeat_whose_window_passes_while_the_connection_comes_up_is_not_sent() {
+    play(async |_| {
+        let send_by = Instant::now() + Duration::from_millis(100);
+        let asked = Asked { send_by: Some(send_by), ..Asked::new() };
+        let passed = async |_: &Links, _| until(|| Instant::now() >= send_by).await;
+        assert_eq!(after_a_late_connection(&asked, passed).await, NotBegun::WindowPassed);
+    });
+}
+
+#[test]
+fn a_further_attempt_that_is_over_the_budget_by_the_time_it_could_begin_is_not_sent() {
+    play(async |_| {
+        let (peer, long) = (Peer::new(), Duration::from_secs(20));
+        let budget = hoptiller::RetryBudget { spare: 1.0, ratio: 0.0, look_back: 60_000_000 };
+        let manner = Manner { connect_within: long, idle: long, probe_within: long, most: 8, held: 1 << 20 };
+        let links = Links::new(manner, Rc::new(Retries::new(Some(budget))));
+        links.told(&member(peer.addr, Phase::Ready, 0));
+        let engine = async {
+            let mut line = peer.accept().await;
+            for _ in 0..2 {
+                let id = id_of(&line.next().await.expect("a request"));
+                line.say(&served(&id)).await;
+            }
+        };
+        let further = || Asked { further: true, ..Asked::new() };
+        let router = async {
+            further().of(&links, IDS[0]).await.expect("the one that there is");
+            let second = further().of(&links, IDS[1]).await;
+            assert!(matches!(second, Err(Failed::NotBegun(NotBegun::Budget))), "{second:?}");
+            Asked::new().of(&links, IDS[2]).await.expect("a first attempt is not rationed");
+        };
+        future::zip(engine, router).await;
+    });
+}
+
+#[test]
+fn one_whose_time_ends_while_the_connection_comes_up_is_known_not_to_have_run() {
+    play(async |_| {
+        let over = Instant::now() + Duration::from_millis(100);
+        let asked = Asked { until: over, ..Asked::new() };
+        let passed = async |_: &Links, _| future::pending().await;
+        assert_eq!(after_a_late_connection(&asked, passed).await, NotBegun::Late);
+    });
+}
+
+#[test]
+fn the_wait_told_to_an_engine_is_what_is_left_when_its_connection_stands() {
+    play(async |_| {
+        let (peer, links) = (Peer::late().await, links());
+        links.told(&member(peer.addr, Phase::Ready, 0));
+        let asked = Asked { until: Instant::now() + Duration::from_secs(10), ..Asked::new() };
+        let engine = async {
+            until(|| links.sizes().0 == 1).await;
+            peer.connections_come_up().await;
+            let mut line = peer.accept().await;
+            let left = asked.until.saturating_duration_since(Instant::now());
+            let request: serde_json::Value =
+                serde_json::from_str(&line.next().await.expect("a request")).expect("JSON");
+            line.say(&served(IDS[0])).await;
+            (request["f"]["w"].as_u64().expect("w"), left)
+        };
+        let (came, (told, left)) = future::zip(asked.of(&links, IDS[0]), engine).await;
+        came.expect("served");
+        // It was written after the connection came up, and before it was accepted here or soon after.
+        let at_first = Duration::from_secs(10);
+        assert!(
+            left < at_first && Duration::from_millis(told) < at_first - Duration::from_millis(500),
+            "{told}"
+        );
+        assert!(told + 500 > left.as_millis() as u64, "{told} {left:?}");
+    });
+}
+
+#[test]
+fn an_id_never_goes_twice_over_a_connection_though_others_went_between() {
+    play(async |_| {
+        let (peer, links) = (Peer::new(), links());
+        links.told(&member(peer.addr, Phase::Ready, 0));
+        let full = |id: &str| format!("{{\"t\":\"overload\",\"i\":\"{id}\"}}\n").into_bytes();
+        let engine = async {
+            let mut first = peer.accept().await;
+            first.next().await.expect("the first attempt");
+            first.say(&full(IDS[0])).await;
+            first.next().await.expect("another request, over the same");
+            // With its answer, a second one to the first attempt, which is late.
+            first.say(&[served(IDS[1]), full(IDS[0])].concat()).await;
+            let mut second = peer.accept().await;
+            assert_eq!(id_of(&second.next().await.expect("the further attempt")), IDS[0]);
+            second.say(&served(IDS[0])).await;
+        };
+        let router = async {
+            assert!(matches!(Asked::new().of(&links, IDS[0]).await, Err(Failed::Full)));
+            Asked::new().of(&links, IDS[1]).await.expect("served");
+            Asked::new()
+                .of(&links, IDS[0])
+                .await
+                .expect("served, and not turned away by what was said before");
+        };
+        future::zip(engine, router).await;
+        assert_eq!(links.sizes().0, 2);
+    });
+}
+
+#[test]
+fn a_connection_over_which_half_a_line_or_too_much_came_meanwhile_is_not_used_again() {
+    let foreign = served(IDS[2]).repeat(2_000);
+    for meanwhile in [b"{\"t\":\"served\",".to_vec(), foreign] {
+        play(async move |_| {
+            let (peer, links) = (Peer::new(), links());
+            links.told(&member(peer.addr, Phase::Ready, 0));
+            let engine = async {
+                let mut first = peer.accept().await;
+                first.next().await.expect("the first request");
+                first.say(&served(IDS[0])).await;
+                first
+            };
+            let (came, mut first) = future::zip(Asked::new().of(&links, IDS[0]), engine).await;
+            came.expect("served");
+            // It has come to this side once the peer's write is done: both are one kernel's.
+            first.say(&meanwhile).await;
+            let engine = async {
+                let mut second = peer.accept().await;
+                assert_eq!(id_of(&second.next().await.expect("the second request")), IDS[1]);
+                second.say(&served(IDS[1])).await;
+            };
+            let (came, ()) = future::zip(Asked::new().of(&links, IDS[1]), engine).await;
+            came.expect("served");
+        });
+    }
+}
+
+#[test]
+fn answers_to_others_without_end_end_the_attempt_and_hold_up_nobody() {
+    play(async |ex| {
+        let (peer, links) = (Peer::new(), links());
+        links.told(&member(peer.addr, Phase::Ready, 0));
+        let addr = peer.addr;
+        ex.spawn(async move {
+            let mut line = peer.accept().await;
+            line.next().await.expect("a request");
+            let foreign = served(IDS[2]).repeat(100);
+            for _ in 0..4_000 {
+                line.say(&foreign).await;
+            }
+        });
+        let asked = Asked::new();
+        let came = asked.of(&links, IDS[0]).await;
+        assert!(matches!(came, Err(Failed::Line(_))), "{addr}: {came:?}");
+        assert!(Instant::now() < asked.until, "before its time");
+    });
+}
+
+#[test]
+fn nothing_more_is_fetched_for_a_client_that_has_left_and_the_connection_is_used_again() {
+    play(async |_| {
+        let long = Duration::from_secs(20);
+        // Room for one result of several pages.
+        let manner = Manner { connect_within: long, idle: long, probe_within: long, most: 8, held: 20_000 };
+        let links = Links::new(manner, Rc::new(Retries::new(None)));
+        let peer = Peer::new();
+        links.told(&member(peer.addr, Phase::Ready, 0));
+        let pages = |id: &str| {
+            format!("{{\"t\":\"served\",\"i\":\"{id}\",\"f\":{{\"fetches\":3}},\"b\":\"{ROWS}\"}}\n")
+                .into_bytes()
+        };
+        let (holds, left, next) = (Asked::new(), Asked::new(), Asked::new());
+        let engine = async {
+            let mut first = peer.accept().await;
+            first.next().await.expect("a request");
+            first.say(&pages(IDS[0])).await;
+            first.next().await.expect("it fetches, and has the room");
+            let mut second = peer.accept().await;
+            second.next().await.expect("a request");
+            second.say(&pages(IDS[1])).await;
+            left.token.abandon();
+            let said = second.next().await.expect("a command");
+            assert!(said.contains("\"END\"") && !said.contains("FETCH"), "{said}");
+            assert_eq!(id_of(&second.next().await.expect("the next request")), IDS[2]);
+            second.say(&served(IDS[2])).await;
+            first
+        };
+        let second = async {
+            until(|| holds.token.has_begun()).await;
+            let came = left.of(&links, IDS[1]).await;
+            assert!(matches!(came, Err(Failed::Abandoned)), "{came:?}");
+            next.of(&links, IDS[2]).await.expect("served");
+        };
+        let others = future::zip(engine, second);
+        let first = async {
+            let _ = holds.of(&links, IDS[0]).await;
+            panic!("its pages never come");
+        };
+        future::or(first, async {
+            others.await;
+        })
+        .await;
+    });
+}
+
+#[test]
+fn two_connections_that_are_given_back_at_once_make_room_for_two_that_wait() {
+    play(async |_| {
+        let long = Duration::from_secs(20);
+        let manner = Manner { connect_within: long, idle: long, probe_within: long, most: 2, held: 1 << 20 };
+        let links = Links::new(manner, Rc::new(Retries::new(None)));
+        let (first, second) = (Peer::new(), Peer::new());
+        links.told(&member(first.addr, Phase::Ready, 0));
+        links.told(&Member { id: 8, ..member(second.addr, Phase::Ready, 0) });
+        let (a, b, c, d) = (Asked::new(), Asked::new(), Asked::new(), Asked::new());
+        let waiting = async {
+            until(|| a.token.has_begun() && b.token.has_begun()).await;
+            let to_the_other = async |asked: &Asked, id| asked.at(8, &links, id).await.map(|_| ());
+            future::zip(to_the_other(&c, "9b1f03aa5c7e2d51"), to_the_other(&d, "9b1f03aa5c7e2d52")).await
+        };
+        let running = future::zip(a.of(&links, IDS[0]), b.of(&links, IDS[1]));
+        let engines = async {
+            let (mut x, mut y) = (first.accept().await, first.accept().await);
+            let (of_x, of_y) = (x.next().await.expect("a request"), y.next().await.expect("a request"));
+            // Both wait for a descriptor by now: nothing else is due on this thread.
+            for _ in 0..20 {
+                future::yield_now().await;
+            }
+            Timer::after(Duration::from_millis(20)).await;
+            x.say(&served(&id_of(&of_x))).await;
+            y.say(&served(&id_of(&of_y))).await;
+            for _ in 0..2 {
+                let mut line = second.accept().await;
+                let id = id_of(&line.next().await.expect("a request"));
+                line.say(&served(&id)).await;
+            }
+            (x, y)
+        };
+        let (((a, b), (c, d)), _) = future::zip(future::zip(running, waiting), engines).await;
+        assert!(a.is_ok() && b.is_ok() && c.is_ok() && d.is_ok(), "{c:?} {d:?}");
+    });
+}
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -14,11 +14,25 @@
 /// No statement is estimated so high, in ms of work or MB.
 const ABSURD: f64 = 1e8;
 
-/// The classes, with their patience, and the tenants that there are, by position.
+/// Bytes of a replay key at most.
+const REPLAY_KEY: usize = 64;
+
+/// What clients may ask for of a class.
+#[derive(Clone, Debug)]
+pub struct ClassTerms {
+    /// Its name.
+    pub name: String,
+    /// How long its clients wait.
+    pub patience: Micros,
+    /// Engines drop a repeat by its key: each request has to bring one.
+    pub keyed: bool,
+}
+
+/// The classes and the tenants that there are, by position.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
-    /// Name and patience.
-    pub classes: Vec<(String, Micros)>,
+    /// The classes.
+    pub classes: Vec<ClassTerms>,
     /// Names; none: requests need not name one.
     pub tenants: Vec<String>,
 }
@@ -40,6 +54,8 @@
     pub guess: Option<Micros>,
     /// Estimated memory, in MB; 0: none.
     pub want_mb: f64,
+    /// By which engines know a repeat; passed on unchanged.
+    pub replay_key: Option<String>,
     /// The group of tables.
     pub group: Option<u64>,
     /// The statement.
@@ -87,7 +103,7 @@
     /// What a request asks for.
     pub fn read(request: Request, names: &Names) -> Result<Call, CallError> {
         let class = request.target.strip_prefix(PATH).ok_or(CallError::Class)?;
-        let class = names.classes.iter().position(|(name, _)| name == class).ok_or(CallError::Class)?;
+        let class = names.classes.iter().position(|c| c.name == class).ok_or(CallError::Class)?;
         let field = |name: &'static str| {
             let mut all = request.headers.all(name);
             match (all.next(), all.next()) {
@@ -108,7 +124,7 @@
             }
             None => return Err(CallError::Field("Project")),
         };
-        let longest = names.classes[class].1 as f64 / 1000.0 * OVER;
+        let longest = names.classes[class].patience as f64 / 1000.0 * OVER;
         let patience = figure("Max-Wait-Ms", longest)?.filter(|ms| *ms >= 1.0);
         let patience = patience.ok_or(CallError::Field("Max-Wait-Ms"))?;
         let repeat = match field("Is-Retry")? {
@@ -118,12 +134,20 @@
         };
         let guess = figure("Expected-Ms", ABSURD)?.map(|ms| (ms * 1000.0) as Micros);
         let want_mb = figure("X-Heap-Mb", ABSURD)?.unwrap_or(0.0);
+        let key = field("Replay-Key")?.map(str::to_owned);
+        // Danger: without one a repeat would not be known as such.
+        let usable =
+            |k: &String| (1..=REPLAY_KEY).contains(&k.len()) && k.bytes().all(|b| b.is_ascii_graphic());
+        if key.as_ref().map_or(names.classes[class].keyed, |k| !usable(k)) {
+            return Err(CallError::Field("Replay-Key"));
+        }
         let text = String::from_utf8(request.body).map_err(|_| CallError::Body)?;
         if text.trim().is_empty() || text.contains('\0') {
             return Err(CallError::Body);
         }
         let patience = (patience * 1000.0) as Micros;
-        Ok(Call { id, class, tenant, patience, repeat, guess, want_mb, group: group_of(&text), text })
+        let (group, replay_key) = (group_of(&text), key);
+        Ok(Call { id, class, tenant, patience, repeat, guess, want_mb, replay_key, group, text })
     }
 }
 
--- a/crates/platform/src/call/tests.rs
+++ b/crates/platform/src/call/tests.rs
@@ -4,7 +4,12 @@
 use hoptiller_http::Method;
 
 fn names() -> Names {
-    let classes = vec![("lookup".to_owned(), 1_000_000), ("report".to_owned(), 2_000_000)];
+    let class = |name: &str, patience, keyed| ClassTerms { name: name.to_owned(), patience, keyed };
+    let classes = vec![
+        class("lookup", 1_000_000, false),
+        class("report", 2_000_000, false),
+        class("post", 2_000_000, true),
+    ];
     Names { classes, tenants: vec!["acme".into()] }
 }
 
@@ -64,3 +69,19 @@
         assert_eq!(Call::read(Request { body: body.to_vec(), ..usual() }, &names()), Err(CallError::Body));
     }
 }
+
+#[test]
+fn a_request_of_a_keyed_class_brings_one_key_and_others_may() {
+    let of = |class: &str, key: &[&str]| {
+        let r = Request { target: format!("/call/{class}"), ..usual() };
+        let r = key.iter().fold(r, |r, k| r.with("Replay-Key", k));
+        Call::read(r, &names()).map(|call| call.replay_key)
+    };
+    let long = "k".repeat(65);
+    let bad = Err(CallError::Field("Replay-Key"));
+    assert_eq!(of("post", &["9ad32c6f"]), Ok(Some("9ad32c6f".into())));
+    assert_eq!((of("report", &["9ad32c6f"]), of("report", &[])), (Ok(Some("9ad32c6f".into())), Ok(None)));
+    for wrong in [&[][..], &[""], &["a b"], &["a", "a"], &[long.as_str()]] {
+        assert_eq!(of("post", wrong), bad, "{wrong:?}");
+    }
+}
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -17,14 +17,34 @@
 
 // ---- commands -----------------------------------------------------------------------------------
 
-/// Sends a statement: its id and class as the client gave them, and how long the router will wait.
-pub fn request(id: &str, class: &str, wait_ms: u64, priority: Option<u8>, text: &str) -> String {
-    let mut line = String::with_capacity(96 + text.len() * 4 / 3);
+/// A statement to be sent, as the client gave it, but for the wait and the priority.
+#[derive(Clone, Copy, Debug)]
+pub struct Send<'a> {
+    /// The request's id.
+    pub id: &'a str,
+    /// Its class.
+    pub class: &'a str,
+    /// By which a repeat is known, where the client gave a key.
+    pub replay_key: Option<&'a str>,
+    /// Priority, where one was set.
+    pub priority: Option<u8>,
+    /// The statement.
+    pub text: &'a str,
+}
+
+/// Sends a statement, and tells how long the router will wait.
+pub fn request(send: &Send<'_>, wait_ms: u64) -> String {
+    let Send { id, class, replay_key, priority, text } = *send;
+    let mut line = String::with_capacity(160 + text.len() * 4 / 3);
     line.push_str("{\"t\":\"REQ\",\"i\":");
     line.push_str(&quoted(id));
     line.push_str(",\"f\":{\"c\":");
     line.push_str(&quoted(class));
     let _ = write!(line, ",\"w\":{wait_ms}");
+    if let Some(key) = replay_key {
+        line.push_str(",\"i\":");
+        line.push_str(&quoted(key));
+    }
     if let Some(priority) = priority {
         let _ = write!(line, ",\"weight\":{}", priority.min(3));
     }
--- a/crates/platform/src/engine/tests.rs
+++ b/crates/platform/src/engine/tests.rs
@@ -67,3 +67,16 @@
         prop_assert_eq!(expected, text(told));
     }
 }
+
+#[test]
+fn a_request_holds_what_the_client_gave_and_its_key_where_there_is_one() {
+    let send = Send { id: "9b1f", class: "post", replay_key: None, priority: Some(7), text: "a" };
+    let read = |line: String| serde_json::from_str::<Value>(line.trim_end()).expect("JSON");
+    let line = request(&send, 1500);
+    assert!(line.ends_with('\n'));
+    let without =
+        serde_json::json!({"t": "REQ", "i": "9b1f", "f": {"c": "post", "w": 1500, "weight": 3}, "b": "YQ=="});
+    assert_eq!(read(line), without);
+    let with = read(request(&Send { replay_key: Some("k\"1"), priority: None, ..send }, 1));
+    assert_eq!(with["f"], serde_json::json!({"c": "post", "w": 1, "i": "k\"1"}));
+}
