Tests of crossings notice each guard taken out

Cause: of 26 guards taken out one by one on a scratch copy, six tests still passed: four waited so long that a time-out stood in for the guard (patience of 8 s), one had two guards of which each was enough, one let a later wake-up stand in for a lost one. Change: patience longer than a scene, a resting connection for the attempt that is taken back, two connections that are answered only once both have come, two reloads of which the first has to give way. The other one, the yield between reads of a peer that sends without a pause, is not: a peer faster than the reader can't be had for certain over a socket.

--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -17,13 +17,15 @@
     coordinator(ex, Rc::new(|_, _| (Vec::new(), false))).0
 }
 
-/// A router that knows this engine, doesn't probe, waits long for connections, and may not cancel at engines.
+/// A router that knows this engine, doesn't probe, may not cancel at engines, and waits for connections and for answers for
+/// longer than a scene lasts: what has not ended by itself hangs.
 fn patient(name: &str, peer: &Peer, ex: &Spawner) -> File {
     let coordinator = quiet(ex);
     let file = File::new(name, &[(7, peer.addr)], coordinator, 256);
     let text = File::text(&[(7, peer.addr)], coordinator, 256)
         .replace("\"mayProbe\":true", "\"mayProbe\":false")
-        .replace("\"connectTimeout\":250", "\"connectTimeout\":9000");
+        .replace("\"connectTimeout\":250", "\"connectTimeout\":90000")
+        .replace("\"deadline\":8000", "\"deadline\":90000");
     std::fs::write(&file.0, text).expect("written");
     file
 }
@@ -35,7 +37,7 @@
         let file = patient("left", &peer, &ex);
         let (node, listen) = router(&file, &ex);
         let mut client = connect(listen).await;
-        client.write_all(request("load", ID, 8000).as_bytes()).await.expect("written");
+        client.write_all(request("load", ID, 90_000).as_bytes()).await.expect("written");
         until(|| node.attempts() == 1 && node.engine_connections() == 1).await;
         drop(client);
         until(|| node.requests_known() == (0, 0)).await;
@@ -68,7 +70,7 @@
         let file = patient("ahead", &peer, &ex);
         let (node, listen) = router(&file, &ex);
         let mut client = connect(listen).await;
-        client.write_all(request("lookup", ID, 8000).as_bytes()).await.expect("written");
+        client.write_all(request("lookup", ID, 90_000).as_bytes()).await.expect("written");
         let mut line = peer.accept().await;
         line.next().await.expect("its request");
         let ahead = request("lookup", "9b1f03aa5c7e2d42", 8000).repeat(2_000);
@@ -237,14 +239,23 @@
         let (node, _) = router(&file, &ex);
         let text = File::text(&[(7, addr)], wrong, 256).replace("\"name\":\"n0\"", "\"name\":\"n1\"");
         std::fs::write(&file.0, text).expect("written");
-        let first = node.reload();
+        let (first_ended, began) = (Rc::new(Cell::new(false)), Instant::now());
+        let (ended, first) = (first_ended.clone(), node.clone());
+        ex.spawn(async move {
+            first.reload().await;
+            ended.set(true);
+        });
         let second = async {
             Timer::after(Duration::from_millis(150)).await;
-            std::fs::write(&file.0, File::text(&[(7, addr)], right, 256)).expect("written");
             node.reload().await;
         };
-        // Both end: the first one gives way to the second.
-        future::zip(first, second).await;
+        let right_file = async {
+            // The first one gives way to the second, and does not try on beside it for its 10 s.
+            until(|| first_ended.get()).await;
+            assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+            std::fs::write(&file.0, File::text(&[(7, addr)], right, 256)).expect("written");
+        };
+        future::zip(second, right_file).await;
         until(|| node.last_event() == 2).await;
         assert_eq!((asked_wrong.borrow().len(), asked_right.borrow().len()), (0, 1));
     });
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -85,10 +85,23 @@
     play(async |_| {
         let (peer, links) = (Peer::new(), links());
         links.told(&member(peer.addr, Phase::Ready, 0));
-        let asked = Asked::new();
-        asked.token.cancel();
-        let came = asked.of(&links, IDS[0]).await;
-        assert!(matches!(came, Err(Failed::NotBegun(NotBegun::Cancelled))), "{came:?}");
+        let engine = async {
+            let mut line = peer.accept().await;
+            line.next().await.expect("the first request");
+            line.say(&served(IDS[0])).await;
+            assert_eq!(id_of(&line.next().await.expect("the next request")), IDS[2]);
+            line.say(&served(IDS[2])).await;
+        };
+        let router = async {
+            // With a connection that rests, it could be written in its task's first step.
+            Asked::new().of(&links, IDS[0]).await.expect("served");
+            let asked = Asked::new();
+            asked.token.cancel();
+            let came = asked.of(&links, IDS[1]).await;
+            assert!(matches!(came, Err(Failed::NotBegun(NotBegun::Cancelled))), "{came:?}");
+            Asked::new().of(&links, IDS[2]).await.expect("served over the same connection");
+        };
+        future::zip(engine, router).await;
     });
 }
 
@@ -347,12 +360,13 @@
             Timer::after(Duration::from_millis(20)).await;
             x.say(&served(&id_of(&of_x))).await;
             y.say(&served(&id_of(&of_y))).await;
-            for _ in 0..2 {
-                let mut line = second.accept().await;
+            // Neither is answered before both have come.
+            let mut both = [second.accept().await, second.accept().await];
+            for line in &mut both {
                 let id = id_of(&line.next().await.expect("a request"));
                 line.say(&served(&id)).await;
             }
-            (x, y)
+            (x, y, both)
         };
         let (((a, b), (c, d)), _) = future::zip(future::zip(running, waiting), engines).await;
         assert!(a.is_ok() && b.is_ok() && c.is_ok() && d.is_ok(), "{c:?} {d:?}");
