--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -38,6 +38,8 @@
 /// more. What is not answered so long before that is given up, which its client is told.
 const KILL: Duration = Duration::from_secs(3);
 const GIVE_UP_AFTER: Duration = Duration::from_millis(450);
+/// Connections whose answers are not taken, or that only are read on, are waited for so much longer.
+const LEAVE_AFTER: Duration = Duration::from_millis(200);
 /// Pause between looks at whether all is answered.
 const LOOK: Duration = Duration::from_millis(20);
 /// A file that can't be read after SIGHUP may be half written: it is tried again after this time, and so many times.
@@ -266,6 +268,10 @@
             if began.elapsed() >= self.give_up_after {
                 self.with_core(|core, _| core.give_up_all());
             }
+            let all_answered = self.rounds.core().sizes().0 == 0;
+            if all_answered && began.elapsed() >= self.give_up_after + LEAVE_AFTER {
+                return;
+            }
             Timer::after(LOOK).await;
         }
     }
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -156,6 +156,10 @@
         let (node, listen) = router(&file, &ex);
         let (safe, unsafe_) = (request("lookup", ID, 8000), request("load", "9b1f03aa5c7e2d42", 8000));
         let asked = future::zip(ask(listen, &safe), ask(listen, &unsafe_));
+        // One that sent no request is read on for 5.5 s, which the end does not wait for.
+        let mut bad = connect(listen).await;
+        bad.write_all(b"no request\r\n\r\n").await.expect("written");
+        assert_eq!(response(&mut bad).await.expect("an answer").0, 400);
         let end = async {
             until(|| node.attempts() == 2).await;
             let began = Instant::now();
@@ -163,6 +167,7 @@
             began.elapsed()
         };
         let ((safe, unsafe_), took) = future::zip(asked, end).await;
+        drop(bad);
         // SIGKILL comes 3.7 s after SIGTERM at the soonest, as the longest patience here is 8 s.
         assert!(took < Duration::from_millis(3_700), "{took:?}");
         assert_eq!(safe.expect("an answer").0, 429, "it is safe to try again");
