The test of discovery that returns keeps its port bound meanwhile

Cause: idle_clients_may_take_all... failed in 1 of 54 runs, six copies at once: AddrInUse. It gave its port back to the kernel while discovery was down, and another copy got it. Change: the socket stays bound and does not listen meanwhile; connections are refused just the same.

--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -212,10 +212,13 @@
 fn idle_clients_may_take_all_that_they_may_and_the_follower_still_connects() {
     play(async |ex| {
         let (addr, _) = engine(&ex, Rc::new(|_, _| (Vec::new(), false)));
-        // Nobody listens there at first: discovery is down.
-        let down = Async::<std::net::TcpListener>::bind(([127, 0, 0, 1], 0)).expect("bound");
-        let at = down.get_ref().local_addr().expect("bound");
-        drop(down);
+        // Bound, so that nobody else gets the port, and not listening: discovery is down.
+        let down =
+            rustix::net::socket(rustix::net::AddressFamily::INET, rustix::net::SocketType::STREAM, None)
+                .expect("a socket");
+        rustix::net::bind(&down, &std::net::SocketAddr::from(([127, 0, 0, 1], 0))).expect("bound");
+        let down = std::net::TcpListener::from(down);
+        let at = down.local_addr().expect("bound");
         let file = File::new("filled", &[(7, addr)], at, 64);
         let (node, listen) = router(&file, &ex);
         let budget = *node.budget();
@@ -226,7 +229,8 @@
         // One is told to go before the next one comes, so that there always is room for that.
         until(|| node.connections() + 1 >= budget.clients).await;
         assert!(budget.clients + budget.engines + 24 <= 64, "24 are left to the process itself: {budget:?}");
-        let back = Async::<std::net::TcpListener>::bind(at).expect("bound again");
+        rustix::net::listen(&down, 16).expect("discovery is back");
+        let back = Async::new(down).expect("usable");
         let (mut stream, _) = back.accept().await.expect("the follower comes again");
         stream.write_all(&frame(2, 2, &[record(8, addr, 0)])).await.expect("written");
         until(|| node.last_event() == 2).await;
