--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -175,9 +175,10 @@
     }
 }
 
-/// Returns a free loopback address.
+/// Returns a free loopback address for a router. Connections of this machine's processes begin at 127.0.0.1, so that none
+/// takes the port before the router listens there.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind("127.0.77.1:0").expect("a free port");
     listener.local_addr().expect("bound")
 }
 
