--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -137,9 +137,11 @@
     /// Sends a signal to a process that the case started.
     pub fn signal(&self, pid: u32, name: &str) {
         self.record.line(&format!("signal {name} to pid {pid}"));
-        let _ = Command::new("kill")
-            .args([&format!("-{name}"), &pid.to_string()])
-            .status();
+        let command = format!("kill -{name} {pid}");
+        let status = Command::new("/bin/sh").args(["-c", &command]).status();
+        if !status.is_ok_and(|status| status.success()) {
+            self.cannot_run("a signal could not be sent");
+        }
     }
 
     pub fn cannot_run(&self, why: &str) -> ! {
