Log: connections by state when accepting is suspended, and frames of a watch that ends

Change: ConnectionCounts has the number of closing connections; hoptiller_http logs (debug) these counts when the limit is reached, and errors of accepting; the event 'coordinator disconnected' has frames and age_ms.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -179,7 +179,10 @@
             match self.listener.accept().await {
                 Ok((stream, _)) => self.spawn(stream),
                 // Out of file descriptors, or the peer has disconnected. Open connections are not affected.
-                Err(_) => self.close_one_idle_and_wait().await,
+                Err(error) => {
+                    tracing::debug!(%error, "connection not accepted");
+                    self.close_one_idle_and_wait().await;
+                }
             }
         }
     }
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -168,6 +168,7 @@
     /// Closes the connection gracefully: closes the sending side, then reads within limits until the client closes too.
     /// Closing with unread bytes would reset the connection and lose a response that the client has not read yet.
     async fn close(&mut self, limit: Duration, max_bytes: u64) -> io::Result<()> {
+        self.registration.mark_closing();
         // `AsyncWriteExt::close` would only flush this stream.
         self.stream.get_ref().shutdown(Shutdown::Write)?;
         let discard_remaining = async {
--- a/crates/http/src/server/connections.rs
+++ b/crates/http/src/server/connections.rs
@@ -15,6 +15,8 @@
     /// Number of open connections that are not idle or have been asked to close. A connection whose first request is
     /// still arriving is idle.
     pub active: usize,
+    /// Number of active connections that have sent their last response and only wait for the client's end.
+    pub closing: usize,
 }
 
 #[derive(Default)]
@@ -26,6 +28,8 @@
     unused: BTreeMap<u64, Rc<Event>>,
     /// Idle connections that are between two requests, in the same form.
     idle: BTreeMap<u64, Rc<Event>>,
+    /// Number of connections that have sent their last response.
+    closing: usize,
     closes_after_response: bool,
     closes_when_idle: bool,
 }
@@ -69,6 +73,7 @@
         ConnectionCounts {
             open: state.open,
             active: state.open - state.unused.len() - state.idle.len(),
+            closing: state.closing,
         }
     }
 
@@ -84,6 +89,7 @@
             if !self.is_full() {
                 return;
             }
+            tracing::debug!(counts = ?self.counts(), "connection limit reached, accepting is suspended");
             self.close_one_idle();
             closed_or_idle.await;
         }
@@ -126,6 +132,7 @@
             key: Cell::new(state.next_key()),
             is_unused: Cell::new(true),
             is_idle: Cell::new(false),
+            is_closing: Cell::new(false),
         }
     }
 }
@@ -136,6 +143,7 @@
     key: Cell<u64>,
     is_unused: Cell<bool>,
     is_idle: Cell<bool>,
+    is_closing: Cell<bool>,
 }
 
 impl ConnectionRegistration {
@@ -187,6 +195,13 @@
         self.is_unused.set(false);
     }
 
+    /// Marks an active connection as having sent its last response.
+    pub(super) fn mark_closing(&self) {
+        if !self.is_closing.replace(true) {
+            self.connections.state.borrow_mut().closing += 1;
+        }
+    }
+
     fn remove_from_idle(&self) {
         let mut state = self.connections.state.borrow_mut();
         state.unused.remove(&self.key.get());
@@ -197,7 +212,10 @@
 impl Drop for ConnectionRegistration {
     fn drop(&mut self) {
         self.remove_from_idle();
-        self.connections.state.borrow_mut().open -= 1;
+        let mut state = self.connections.state.borrow_mut();
+        state.open -= 1;
+        state.closing -= usize::from(self.is_closing.get());
+        drop(state);
         self.connections.closed_or_idle.notify(1);
     }
 }
--- a/crates/http/src/server/connections/tests.rs
+++ b/crates/http/src/server/connections/tests.rs
@@ -2,7 +2,11 @@
 use futures_lite::future::{block_on, poll_once};
 
 fn counts(open: usize, active: usize) -> ConnectionCounts {
-    ConnectionCounts { open, active }
+    ConnectionCounts {
+        open,
+        active,
+        closing: 0,
+    }
 }
 
 #[test]
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -216,7 +216,11 @@
         );
         assert_eq!(
             server.connections.counts(),
-            ConnectionCounts { open: 1, active: 1 },
+            ConnectionCounts {
+                open: 1,
+                active: 1,
+                closing: 1
+            },
             "the server still reads from the connection"
         );
         drop((stream, read));
--- a/crates/platform-router/src/watch_client.rs
+++ b/crates/platform-router/src/watch_client.rs
@@ -39,6 +39,8 @@
 pub(crate) struct WatchClient {
     addr: Cell<SocketAddr>,
     last_event: Cell<u64>,
+    /// Number of complete frames received over the current connection.
+    frames: Cell<u64>,
     addr_changed: Event,
     backoff: RefCell<Duration>,
 }
@@ -49,6 +51,7 @@
         WatchClient {
             addr: Cell::new(addr),
             last_event: Cell::new(last_event),
+            frames: Cell::new(0),
             addr_changed: Event::new(),
             backoff: RefCell::new(MIN_BACKOFF),
         }
@@ -71,12 +74,21 @@
         loop {
             let addr_changed = self.addr_changed.listen();
             let addr = self.addr.get();
+            let started = Instant::now();
+            self.frames.set(0);
             let error = future::or(self.watch_until_error(addr, &on_update), async {
                 addr_changed.await;
                 WatchError::AddressChanged
             })
             .await;
-            tracing::debug!(%addr, last_event = self.last_event.get(), %error, "coordinator disconnected");
+            tracing::debug!(
+                %addr,
+                last_event = self.last_event.get(),
+                frames = self.frames.get(),
+                age_ms = started.elapsed().as_millis(),
+                %error,
+                "coordinator disconnected"
+            );
             if !matches!(error, WatchError::AddressChanged) {
                 self.back_off(addr).await;
             }
@@ -136,6 +148,7 @@
             while let Some(frame) = decoder.next_frame()? {
                 *self.backoff.borrow_mut() = MIN_BACKOFF;
                 last_frame_at = Instant::now();
+                self.frames.set(self.frames.get() + 1);
                 if let Frame::Update(update) = frame {
                     self.last_event.set(update.number);
                     on_update(update);
