HTTP server: a connection that has its last response makes room for others

Cause: after its last response a connection is read from for up to 5.5 s (rejected requests) or 0.3 s, counts as active meanwhile and can't be closed for another one; with all places taken so, accepting is suspended. Change: such connections are closed first when a place is needed, the oldest first, before idle ones; what has arrived is read before. Connections accepted last are read from before one is closed for room. The buffer of a closing connection is freed. Why it works: such a connection owes nothing more, so a place is never held longer than another one needs it; with room to spare it is read from as long as before. The same for the statement API and replicas, which use this server. ServerConnections::close_one_idle is evict_one now. The active client of abusive_clients.rs now checks the time of each response too.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -34,8 +34,9 @@
 pub struct Config {
     /// Limits on the parts of a request.
     pub limits: Limits,
-    /// Maximum number of open connections. As soon as it is reached, idle connections are asked to close until one
-    /// place is free, first those that never sent a request. While none is idle, no connection is accepted.
+    /// Maximum number of open connections. As soon as it is reached, connections are asked to close until one place is
+    /// free: first those that have sent their last response, then idle ones, of these first those that never sent a
+    /// request. While there are none, no connection is accepted.
     pub max_connections: usize,
     /// Maximum number of content bytes of incomplete requests of all connections together. A request that exceeds it is
     /// rejected with status 503.
@@ -49,7 +50,7 @@
     /// Maximum time for which a write may make no progress.
     pub write_timeout: Duration,
     /// Maximum time for which the server keeps reading from the sender of a rejected request, so that closing does not
-    /// reset the connection before the response is read.
+    /// reset the connection before the response is read. It ends earlier if another connection needs the place.
     pub linger_timeout: Duration,
     /// Whether a handler is dropped when its client closes the connection or only the sending side. TCP does not
     /// distinguish the two until something is written, and closing may be a client's only way to signal that it no
@@ -175,13 +176,17 @@
 impl Acceptor {
     async fn accept_forever(&self) {
         loop {
+            if self.connections.is_full() {
+                // The connections accepted last are read from before one of them is closed to make room.
+                future::yield_now().await;
+            }
             self.connections.wait_for_capacity().await;
             match self.listener.accept().await {
                 Ok((stream, _)) => self.spawn(stream),
                 // Out of file descriptors, or the peer has disconnected. Open connections are not affected.
                 Err(error) => {
                     tracing::debug!(%error, "connection not accepted");
-                    self.close_one_idle_and_wait().await;
+                    self.evict_one_and_wait().await;
                 }
             }
         }
@@ -193,22 +198,22 @@
         let deadline = Instant::now() + ACCEPT_QUEUE_TIMEOUT;
         while Instant::now() < deadline {
             if self.connections.is_full() {
-                self.close_one_idle_and_wait().await;
+                self.evict_one_and_wait().await;
                 continue;
             }
             let accepted = self.listener.get_ref().accept();
             match accepted.map(|(stream, _)| Async::new(stream)) {
                 Ok(Ok(stream)) => self.spawn(stream),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Ok(Err(_)) | Err(_) => self.close_one_idle_and_wait().await,
+                Ok(Err(_)) | Err(_) => self.evict_one_and_wait().await,
             }
         }
     }
 
-    /// Asks one idle connection to close, and waits for a fixed time, because no event tells when accepting works
+    /// Asks one connection to close, and waits for a fixed time, because no event tells when accepting works
     /// again.
-    async fn close_one_idle_and_wait(&self) {
-        self.connections.close_one_idle();
+    async fn evict_one_and_wait(&self) {
+        self.connections.evict_one();
         Timer::after(ACCEPT_RETRY_DELAY).await;
     }
 
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -16,7 +16,8 @@
 use crate::io::{discard, read_into, write_all};
 use crate::message::{Method, Request, Response};
 
-/// Maximum time for which a connection is read from after its last response.
+/// Maximum time for which a connection is read from after its last response. Until then it keeps its place only as long
+/// as no other connection needs it.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum number of bytes that are read from a connection after its last response.
@@ -165,10 +166,13 @@
         }
     }
 
-    /// Closes the connection gracefully: closes the sending side, then reads within limits until the client closes too.
-    /// Closing with unread bytes would reset the connection and lose a response that the client has not read yet.
+    /// Closes the connection gracefully: closes the sending side, then reads until the client closes too, a limit is
+    /// reached, or another connection needs the place. Closing with unread bytes would reset the connection and could
+    /// lose a response that the client has not read yet.
     async fn close(&mut self, limit: Duration, max_bytes: u64) -> io::Result<()> {
-        self.registration.mark_closing();
+        let evicted = self.registration.mark_closing();
+        // No further request is decoded, so the received bytes are freed.
+        self.decoder = Decoder::new(MessageKind::Request, self.context.config.limits);
         // `AsyncWriteExt::close` would only flush this stream.
         self.stream.get_ref().shutdown(Shutdown::Write)?;
         let discard_remaining = async {
@@ -182,7 +186,12 @@
             }
             Ok(())
         };
-        self.context.timer.timeout(limit, discard_remaining).await
+        let evicted = async {
+            evicted.await;
+            Ok(())
+        };
+        let closed = future::or(discard_remaining, evicted);
+        self.context.timer.timeout(limit, closed).await
     }
 
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
--- a/crates/http/src/server/connections.rs
+++ b/crates/http/src/server/connections.rs
@@ -1,5 +1,5 @@
-//! The open connections of a server: their number, and which of them are idle and can be closed to make room for
-//! others.
+//! The open connections of a server: their number, and which of them can be closed to make room for others, because
+//! they are idle or have sent their last response.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -28,8 +28,8 @@
     unused: BTreeMap<u64, Rc<Event>>,
     /// Idle connections that are between two requests, in the same form.
     idle: BTreeMap<u64, Rc<Event>>,
-    /// Number of connections that have sent their last response.
-    closing: usize,
+    /// Connections that have sent their last response, in the order in which they did, in the same form.
+    closing: BTreeMap<u64, Rc<Event>>,
     closes_after_response: bool,
     closes_when_idle: bool,
 }
@@ -47,14 +47,23 @@
             &mut self.idle
         }
     }
+
+    /// Removes the connection that is closed first to make room: the oldest that has sent its last response, else the
+    /// one that has been idle for longest, of those that never sent a request if there are any.
+    fn pop_evictable(&mut self) -> Option<Rc<Event>> {
+        let oldest = self.closing.pop_first();
+        let oldest = oldest.or_else(|| self.unused.pop_first());
+        let (_, close) = oldest.or_else(|| self.idle.pop_first())?;
+        Some(close)
+    }
 }
 
 /// The connections of a server, with a maximum number.
 pub struct ServerConnections {
     max_open: usize,
     state: RefCell<ConnectionsState>,
-    /// Notified when a connection closes or becomes idle.
-    closed_or_idle: Event,
+    /// Notified when a connection closes or can be closed to make room.
+    room_changed: Event,
 }
 
 impl ServerConnections {
@@ -63,7 +72,7 @@
         ServerConnections {
             max_open: max_open.max(1),
             state: RefCell::default(),
-            closed_or_idle: Event::new(),
+            room_changed: Event::new(),
         }
     }
 
@@ -73,7 +82,7 @@
         ConnectionCounts {
             open: state.open,
             active: state.open - state.unused.len() - state.idle.len(),
-            closing: state.closing,
+            closing: state.closing.len(),
         }
     }
 
@@ -82,28 +91,24 @@
         self.state.borrow().open >= self.max_open
     }
 
-    /// Waits until another connection may be accepted. While the maximum is reached, asks idle connections to close.
+    /// Waits until another connection may be accepted. While the maximum is reached, closes others to make room.
     pub(super) async fn wait_for_capacity(&self) {
         loop {
-            let closed_or_idle = self.closed_or_idle.listen();
+            let room_changed = self.room_changed.listen();
             if !self.is_full() {
                 return;
             }
             tracing::debug!(counts = ?self.counts(), "connection limit reached, accepting is suspended");
-            self.close_one_idle();
-            closed_or_idle.await;
+            self.evict_one();
+            room_changed.await;
         }
     }
 
-    /// Asks one idle connection to close: the one that has been idle for longest, of those that never sent a request if
-    /// there are any.
-    pub fn close_one_idle(&self) {
-        let mut state = self.state.borrow_mut();
-        let (_, close) = match state.unused.pop_first().or_else(|| state.idle.pop_first()) {
-            Some(oldest) => oldest,
-            None => return,
-        };
-        close.notify(usize::MAX);
+    /// Asks one connection to close that has sent its last response or, if there is none, is idle.
+    pub fn evict_one(&self) {
+        if let Some(close) = self.state.borrow_mut().pop_evictable() {
+            close.notify(usize::MAX);
+        }
     }
 
     /// Makes each further response announce that its connection is closed after it, so that no client sends a request
@@ -132,7 +137,6 @@
             key: Cell::new(state.next_key()),
             is_unused: Cell::new(true),
             is_idle: Cell::new(false),
-            is_closing: Cell::new(false),
         }
     }
 }
@@ -143,7 +147,6 @@
     key: Cell<u64>,
     is_unused: Cell<bool>,
     is_idle: Cell<bool>,
-    is_closing: Cell<bool>,
 }
 
 impl ConnectionRegistration {
@@ -184,26 +187,34 @@
             .idle_connections(self.is_unused.get())
             .insert(key, close);
         drop(state);
-        self.connections.closed_or_idle.notify(1);
+        self.connections.room_changed.notify(1);
         listener
     }
 
     /// Marks the connection as having a request in progress.
     pub(super) fn mark_active(&self) {
-        self.remove_from_idle();
+        self.remove_from_evictable();
         self.is_idle.set(false);
         self.is_unused.set(false);
     }
 
-    /// Marks an active connection as having sent its last response.
-    pub(super) fn mark_closing(&self) {
-        if !self.is_closing.replace(true) {
-            self.connections.state.borrow_mut().closing += 1;
-        }
+    /// Marks an active connection as having sent its last response. Returns a listener that is notified when its place
+    /// is needed for another connection.
+    pub(super) fn mark_closing(&self) -> EventListener {
+        let close = Rc::new(Event::new());
+        let listener = close.listen();
+        let mut state = self.connections.state.borrow_mut();
+        let key = state.next_key();
+        self.key.set(key);
+        state.closing.insert(key, close);
+        drop(state);
+        self.connections.room_changed.notify(1);
+        listener
     }
 
-    fn remove_from_idle(&self) {
+    fn remove_from_evictable(&self) {
         let mut state = self.connections.state.borrow_mut();
+        state.closing.remove(&self.key.get());
         state.unused.remove(&self.key.get());
         state.idle.remove(&self.key.get());
     }
@@ -211,12 +222,9 @@
 
 impl Drop for ConnectionRegistration {
     fn drop(&mut self) {
-        self.remove_from_idle();
-        let mut state = self.connections.state.borrow_mut();
-        state.open -= 1;
-        state.closing -= usize::from(self.is_closing.get());
-        drop(state);
-        self.connections.closed_or_idle.notify(1);
+        self.remove_from_evictable();
+        self.connections.state.borrow_mut().open -= 1;
+        self.connections.room_changed.notify(1);
     }
 }
 
--- a/crates/http/src/server/connections/tests.rs
+++ b/crates/http/src/server/connections/tests.rs
@@ -34,7 +34,7 @@
             poll_once(&mut capacity).await.is_some(),
             "one connection has closed"
         );
-        connections.close_one_idle();
+        connections.evict_one();
         assert!(poll_once(&mut close_idle).await.is_some());
         assert_eq!(
             connections.counts(),
@@ -43,3 +43,45 @@
         );
     });
 }
+
+/// Guards against a rejected client that keeps its place for as long as it sends, so that nobody else is accepted.
+#[test]
+fn connections_that_have_sent_their_last_response_are_closed_before_idle_ones() {
+    block_on(async {
+        let connections = Rc::new(ServerConnections::new(3));
+        let (unused, first, second) = (
+            connections.register(),
+            connections.register(),
+            connections.register(),
+        );
+        first.mark_active();
+        second.mark_active();
+        let mut close_unused = unused.mark_idle();
+        let (mut close_first, mut close_second) = (first.mark_closing(), second.mark_closing());
+        assert_eq!(
+            connections.counts(),
+            ConnectionCounts {
+                open: 3,
+                active: 2,
+                closing: 2
+            }
+        );
+        let mut capacity = Box::pin(connections.wait_for_capacity());
+        assert!(
+            poll_once(&mut capacity).await.is_none(),
+            "the maximum is reached"
+        );
+        assert!(poll_once(&mut close_first).await.is_some());
+        assert!(
+            poll_once(&mut close_second).await.is_none(),
+            "one is enough"
+        );
+        drop(first);
+        assert!(poll_once(&mut capacity).await.is_some());
+        connections.evict_one();
+        assert!(poll_once(&mut close_second).await.is_some());
+        assert!(poll_once(&mut close_unused).await.is_none());
+        connections.evict_one();
+        assert!(poll_once(&mut close_unused).await.is_some());
+    });
+}
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -227,3 +227,54 @@
         wait_until(|| server.open_connections() == 0).await;
     });
 }
+
+/// Connects `count` clients whose requests are rejected, and reads their responses. None of them closes its connection.
+async fn connect_rejected_clients(server: &TestServer, count: usize) -> Vec<TcpStream> {
+    let mut clients = Vec::new();
+    for _ in 0..count {
+        let mut stream = TcpStream::connect(server.address).expect("the kernel accepts");
+        stream.write_all(b"no request\r\n\r\n").expect("written");
+        let mut read = Async::new(stream.try_clone().expect("a copy")).expect("usable");
+        let mut all = Vec::new();
+        read.read_to_end(&mut all).await.expect("an end");
+        assert!(all.starts_with(b"HTTP/1.1 400"));
+        clients.push(stream);
+    }
+    clients
+}
+
+/// Guards against rejected clients that keep all places, so that nobody else is accepted before the linger timeout.
+#[test]
+fn clients_that_were_rejected_make_room_for_others() {
+    run_test(2, async |server| {
+        let rejected = connect_rejected_clients(&server, 5).await;
+        let served = send_request(server.address);
+        wait_until(|| server.requests.get() == 1).await;
+        server.release.notify(usize::MAX);
+        let text = read_response(served).await.expect("a response");
+        assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+        drop(rejected);
+    });
+}
+
+/// Guards against rejected clients that keep all places while a server stops, so that the connections in the accept
+/// queue are reset.
+#[test]
+fn clients_that_were_rejected_make_room_for_the_accept_queue_of_a_server_that_stops() {
+    run_test(2, async |server| {
+        let rejected = connect_rejected_clients(&server, 2).await;
+        server.connections.announce_end();
+        // Connected, without the server's task running in between, when it stops.
+        let waiting = [send_request(server.address), send_request(server.address)];
+        server.stop.notify(1);
+        wait_until(|| server.requests.get() == 2).await;
+        server.release.notify(usize::MAX);
+        for stream in waiting {
+            let text = read_response(stream)
+                .await
+                .expect("a response, and no reset");
+            assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+        }
+        drop(rejected);
+    });
+}
--- a/crates/platform-router/tests/abusive_clients.rs
+++ b/crates/platform-router/tests/abusive_clients.rs
@@ -3,16 +3,24 @@
 
 mod common;
 
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use hoptiller_http::Spawner;
 
 const TIME_LIMIT: Duration = Duration::from_secs(3);
 
+/// The time that the active client waits for its response.
+const MAX_WAIT: Duration = Duration::from_millis(1_500);
+
+/// A response up to this long after the client's time is only late; after that, the request counts as lost.
+const LATE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Runs abusive clients against a router with 128 descriptors while another client must be served without a failure.
 fn run_with_active_client<F: Future<Output = ()>>(
     name: &'static str,
@@ -28,12 +36,19 @@
         let (router, listen) = start_router(&file, &spawner);
         let active = async {
             for n in 0u64.. {
-                let text = statement_request("lookup", &format!("{n:016x}"), 1500);
+                let text =
+                    statement_request("lookup", &format!("{n:016x}"), MAX_WAIT.as_millis() as u64);
+                let sent = Instant::now();
                 assert_eq!(
                     send_request(listen, &text).await.expect("a response").0,
                     200,
                     "active client {n}"
                 );
+                assert!(
+                    sent.elapsed() < MAX_WAIT + LATE_LIMIT,
+                    "active client {n}: {:?}",
+                    sent.elapsed()
+                );
                 assert!(
                     router.client_connections() <= router.budget().client_connections,
                     "{}",
@@ -47,10 +62,7 @@
 }
 
 /// Reads until the connection ends. Returns the text and the time since `started`.
-async fn read_to_end(
-    stream: &mut async_io::Async<std::net::TcpStream>,
-    started: Instant,
-) -> (String, Duration) {
+async fn read_to_end(stream: &mut Async<TcpStream>, started: Instant) -> (String, Duration) {
     let (mut received, mut buffer) = (Vec::new(), [0; 4096]);
     while let Ok(n @ 1..) = stream.read(&mut buffer).await {
         received.extend_from_slice(&buffer[..n]);
@@ -142,3 +154,48 @@
         }
     });
 }
+
+/// Sends a head that never ends, 16 KiB each 50 ms, until the router closes the connection or for twice the time limit,
+/// and reads meanwhile. Returns the time up to the response or the close, and the response.
+async fn send_endless_head(stream: Async<TcpStream>) -> (Duration, String) {
+    let started = Instant::now();
+    let send = async {
+        let mut part = b"POST /call/lookup HTTP/1.1\r\nHost: h\r\nX-Note: ".to_vec();
+        part.resize(16 << 10, b'a');
+        while (&stream).write_all(&part).await.is_ok() && started.elapsed() < 2 * TIME_LIMIT {
+            part.fill(b'a');
+            Timer::after(Duration::from_millis(50)).await;
+        }
+    };
+    let receive = async {
+        let mut buffer = [0; 4096];
+        let count = (&stream).read(&mut buffer).await.unwrap_or(0);
+        let response = String::from_utf8_lossy(&buffer[..count]).into_owned();
+        (started.elapsed(), response)
+    };
+    future::zip(send, receive).await.1
+}
+
+/// Guards against rejected clients that keep all places while they go on sending, so that nobody else is accepted.
+#[test]
+fn endless_messages_of_many_clients_do_not_keep_others_from_being_served() {
+    run_with_active_client("endless", async |router, listen| {
+        let executor = LocalExecutor::new();
+        let clients = 4 * router.budget().client_connections;
+        let mut open = Vec::new();
+        for _ in 0..clients {
+            open.push(executor.spawn(async { send_endless_head(connect(listen).await).await }));
+        }
+        let all_end = async {
+            for client in open {
+                let (elapsed, response) = client.await;
+                assert!(elapsed < TIME_LIMIT, "{elapsed:?}");
+                assert!(
+                    response.is_empty() || response.starts_with("HTTP/1.1 431"),
+                    "{response}"
+                );
+            }
+        };
+        executor.run(all_end).await;
+    });
+}
--- a/crates/statement-router/tests/clients.rs
+++ b/crates/statement-router/tests/clients.rs
@@ -4,7 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{ClientOptions, ClientOutcome, TestCluster, next_path, parse_json, path_of};
 use hoptiller_audit::Record;
@@ -447,3 +447,26 @@
     );
     cluster.assert_served(&cluster.request("lookup", "SELECT 1 /* work=5ms */"));
 }
+
+/// Guards against rejected clients that keep all places for as long as they stay, so that nobody else is accepted.
+#[test]
+fn clients_whose_requests_were_rejected_make_room_for_others() {
+    let cluster = TestCluster::with_config(1, |v| v["limits"]["connections"] = json!(4), |_| {});
+    // They neither read to the end nor close.
+    let rejected: Vec<TcpStream> = (0..24)
+        .map(|_| {
+            let mut stream = connect(&cluster);
+            stream.write_all(b"no request\r\n\r\n").expect("written");
+            stream
+        })
+        .collect();
+    let started = Instant::now();
+    cluster.assert_served(&cluster.request("lookup", "SELECT 1 /* work=5ms */"));
+    // In groups of 4, they would keep their places for 6 s.
+    assert!(
+        started.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        started.elapsed()
+    );
+    drop(rejected);
+}
