Watch client: a slow coordinator is heard, a silent one is called beside the old call

Cause: each call was dropped after 2.2 s without a frame, also before its first one, and the next had the same limit. Not the list, not the decoder: no frame came. Change: after 2.2 s without a frame another call is made and the earlier ones stay open; the first frame on any of them closes the others. Connecting has no limit of its own beyond a further call after 1 s. Unanswered calls make the interval grow to 3.5 s, under the 4 s after which events of a silent coordinator count as reported; at most 4 calls are open, the oldest always among them. WatchSchedule decides this without I/O. Why it works: a slow coordinator answers the first call, however long it takes; a silent watch is left as early as before.

--- a/crates/platform-router/src/lib.rs
+++ b/crates/platform-router/src/lib.rs
@@ -7,7 +7,8 @@
 //!   accompany a statement through the core.
 //! - [`connection_pool`], `connection`: connections to engines, with one request at a time on each.
 //! - [`attempt`], [`cancel`]: an attempt, its outcome and its cancellation.
-//! - `watch_client`: the connection to the coordinator, which receives updates of the endpoint list.
+//! - `watch_client`, `watch_call`, `watch_schedule`: the connections to the coordinator, which receive updates of the
+//!   endpoint list, and when they are opened and closed.
 //! - [`budget`], `connection_limiter`, `result_memory`, [`retry_limiter`]: resource limits.
 //! - [`trace`]: compares the attempts in a router's log with the policy's counts.
 //!
@@ -32,7 +33,9 @@
 mod startup;
 mod statement_fields;
 pub mod trace;
+mod watch_call;
 mod watch_client;
+mod watch_schedule;
 
 pub use router::Router;
 pub use startup::StartError;
--- a/crates/platform-router/src/watch_client.rs
+++ b/crates/platform-router/src/watch_client.rs
@@ -1,48 +1,24 @@
-//! A client that watches the coordinator's endpoint list. It requests the updates after the last one received and
-//! reconnects after any error. While the coordinator is unreachable, the list stays unchanged.
+//! A client that watches the coordinator's endpoint list. It requests the updates after the last one received, and calls
+//! again after any error and when the coordinator is silent. While it is unreachable, the list stays unchanged.
 
-use std::cell::{Cell, RefCell};
-use std::io;
-use std::net::{SocketAddr, TcpStream};
-use std::time::{Duration, Instant};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::Instant;
 
-use async_io::{Async, Timer};
+use async_io::Timer;
 use event_listener::Event;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use hoptiller_platform_protocol::frame_decoder::{Frame, FrameError};
-use hoptiller_platform_protocol::{EndpointListUpdate, FrameDecoder};
+use futures_lite::future;
+use hoptiller_platform_protocol::EndpointListUpdate;
+use hoptiller_platform_protocol::frame_decoder::Frame;
 
-/// The connection is closed if no complete frame arrives within this time; partial frames don't count. The coordinator
-/// sends a keep-alive each second.
-const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(2_200);
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-const MIN_BACKOFF: Duration = Duration::from_millis(20);
-const MAX_BACKOFF: Duration = Duration::from_millis(400);
-const READ_BUFFER_BYTES: usize = 8 << 10;
-
-/// The reason why a connection to the coordinator ended.
-#[derive(Debug, thiserror::Error)]
-enum WatchError {
-    #[error("{0}")]
-    Io(#[from] io::Error),
-    #[error("connecting or subscribing took over {} ms", CONNECT_TIMEOUT.as_millis())]
-    ConnectTimedOut,
-    #[error("no complete frame within {} ms", KEEP_ALIVE_TIMEOUT.as_millis())]
-    FrameTimedOut,
-    #[error("{0}")]
-    Frame(#[from] FrameError),
-    #[error("the coordinator's address has changed")]
-    AddressChanged,
-}
+use crate::watch_call::{CallProgress, FailedCall, OpenCalls};
+use crate::watch_schedule::WatchSchedule;
 
 /// Watches the coordinator's endpoint list.
 pub(crate) struct WatchClient {
     addr: Cell<SocketAddr>,
     last_event: Cell<u64>,
-    /// Number of complete frames received over the current connection.
-    frames: Cell<u64>,
     addr_changed: Event,
-    backoff: RefCell<Duration>,
 }
 
 impl WatchClient {
@@ -51,9 +27,7 @@
         WatchClient {
             addr: Cell::new(addr),
             last_event: Cell::new(last_event),
-            frames: Cell::new(0),
             addr_changed: Event::new(),
-            backoff: RefCell::new(MIN_BACKOFF),
         }
     }
 
@@ -74,99 +48,58 @@
         loop {
             let addr_changed = self.addr_changed.listen();
             let addr = self.addr.get();
-            let started = Instant::now();
-            self.frames.set(0);
-            let error = future::or(self.watch_until_error(addr, &on_update), async {
-                addr_changed.await;
-                WatchError::AddressChanged
-            })
-            .await;
-            tracing::debug!(
-                %addr,
-                last_event = self.last_event.get(),
-                frames = self.frames.get(),
-                age_ms = started.elapsed().as_millis(),
-                %error,
-                "coordinator disconnected"
-            );
-            if !matches!(error, WatchError::AddressChanged) {
-                self.back_off(addr).await;
-            }
+            future::or(self.watch(addr, &on_update), addr_changed).await;
+            tracing::debug!(%addr, "the coordinator's address has changed");
         }
     }
 
-    /// Waits before the next connection, but no longer than until the address changes.
-    async fn back_off(&self, addr: SocketAddr) {
-        let backoff = *self.backoff.borrow();
-        *self.backoff.borrow_mut() = (backoff * 2).min(MAX_BACKOFF);
-        let addr_changed = self.addr_changed.listen();
-        if self.addr.get() == addr {
-            future::or(addr_changed, async { _ = Timer::after(backoff).await }).await;
+    /// Watches the coordinator at an address forever.
+    async fn watch(&self, addr: SocketAddr, on_update: &impl Fn(EndpointListUpdate)) {
+        let mut schedule = WatchSchedule::new(Instant::now());
+        let mut calls = OpenCalls::default();
+        loop {
+            let call_due = async {
+                Timer::at(schedule.next_call_at()).await;
+                None
+            };
+            let progress = async { Some(calls.next_progress().await) };
+            let progress = future::or(progress, call_due).await;
+            let now = Instant::now();
+            match progress {
+                None => {
+                    tracing::debug!(%addr, open_calls = schedule.open_calls(), "calling the coordinator");
+                    let id = schedule.begin_call(now);
+                    calls.open(id, addr, self.last_event.get());
+                }
+                Some(Ok((id, CallProgress::Subscribed))) => schedule.subscribed(id, now),
+                Some(Ok((id, CallProgress::Frame(frame)))) => {
+                    schedule.frame_received(id, now);
+                    self.apply(frame, on_update);
+                }
+                Some(Err(failed)) => {
+                    self.log_failure(addr, &failed);
+                    schedule.call_failed(failed.id, now);
+                }
+            }
+            calls.close_unscheduled(&schedule);
         }
     }
 
-    async fn watch_until_error(
-        &self,
-        addr: SocketAddr,
-        on_update: &impl Fn(EndpointListUpdate),
-    ) -> WatchError {
-        match self.watch(addr, on_update).await {
-            Ok(never) => match never {},
-            Err(error) => error,
+    fn apply(&self, frame: Frame, on_update: &impl Fn(EndpointListUpdate)) {
+        if let Frame::Update(update) = frame {
+            self.last_event.set(update.number);
+            on_update(update);
         }
     }
 
-    async fn watch(
-        &self,
-        addr: SocketAddr,
-        on_update: &impl Fn(EndpointListUpdate),
-    ) -> Result<std::convert::Infallible, WatchError> {
-        let mut stream = with_timeout(
-            CONNECT_TIMEOUT,
-            WatchError::ConnectTimedOut,
-            Async::<TcpStream>::connect(addr),
-        )
-        .await?;
-        let _ = stream.get_ref().set_nodelay(true);
-        let last_event = self.last_event.get().to_be_bytes();
-        with_timeout(
-            CONNECT_TIMEOUT,
-            WatchError::ConnectTimedOut,
-            stream.write_all(&last_event),
-        )
-        .await?;
-        let mut decoder = FrameDecoder::new(self.last_event.get());
-        let mut buffer = vec![0; READ_BUFFER_BYTES];
-        let mut last_frame_at = Instant::now();
-        loop {
-            let left = KEEP_ALIVE_TIMEOUT.saturating_sub(last_frame_at.elapsed());
-            let n = with_timeout(left, WatchError::FrameTimedOut, stream.read(&mut buffer)).await?;
-            if n == 0 {
-                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
-            }
-            decoder.feed(&buffer[..n]);
-            while let Some(frame) = decoder.next_frame()? {
-                *self.backoff.borrow_mut() = MIN_BACKOFF;
-                last_frame_at = Instant::now();
-                self.frames.set(self.frames.get() + 1);
-                if let Frame::Update(update) = frame {
-                    self.last_event.set(update.number);
-                    on_update(update);
-                }
-            }
-        }
+    fn log_failure(&self, addr: SocketAddr, failed: &FailedCall) {
+        tracing::debug!(
+            %addr,
+            last_event = self.last_event.get(),
+            frames = failed.frames,
+            age_ms = failed.opened_at.elapsed().as_millis(),
+            error = %failed.error,
+            "coordinator disconnected"
+        );
     }
 }
-
-async fn with_timeout<T>(
-    timeout: Duration,
-    timeout_error: WatchError,
-    work: impl Future<Output = io::Result<T>>,
-) -> Result<T, WatchError> {
-    let work = async { work.await.map_err(WatchError::Io) };
-    future::or(work, async {
-        Timer::after(timeout).await;
-        Err(timeout_error)
-    })
-    .await
-}
