HTTP server: an incomplete later request makes room, and a fresh connection is not closed

Callers saw: with four times as many clients as places, each of which sends a served request and then bytes of a second one that never becomes complete, a usual client waited over 2 s for its response. Once a second request has begun, its connection could not be closed for another one until the request timeout (2.3 s; 10 s on the statement API). And a connection that had just been accepted was closed before its client could send, where nothing else was idle. Change: a connection whose later request is arriving is the last that is closed for another one, with status 503; one that has never sent a request, or whose later request is arriving, is closed 20 ms after that began at the earliest, and accepting waits as long. The waits for a first and for a later request are functions of their own. The flags is_idle of a registration are gone. Test changed: unused_connections_are_closed_first_and_active_ones_never waits these 20 ms before it fills the server; its assertions are the same, and a new test checks that nothing is closed before. Tests: before the change failed incomplete_second_requests_of_many_clients_do_not_keep_others_from_being_served (active client: over 2 s); new: a_client_with_an_incomplete_second_request_is_rejected_to_make_room, a_connection_is_not_closed_for_another_one_before_its_client_could_send_a_request. Measured: tests of hoptiller-http and hoptiller-platform-router pass.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -36,7 +36,8 @@
     pub limits: Limits,
     /// Maximum number of open connections. As soon as it is reached, connections are asked to close until one place is
     /// free: first those that have sent their last response, then idle ones, of these first those that never sent a
-    /// request. While there are none, no connection is accepted.
+    /// request, last those whose next request is arriving, which get status 503. While there are none, no connection is
+    /// accepted.
     pub max_connections: usize,
     /// Maximum number of content bytes of incomplete requests of all connections together. A request that exceeds it is
     /// rejected with status 503.
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -74,7 +74,7 @@
                 Err(ReadError::Parse(error)) => {
                     return self.reject(error.status(), &error.to_string()).await;
                 }
-                Err(error @ ReadError::IncomingBudget) => {
+                Err(error @ (ReadError::IncomingBudget | ReadError::Evicted)) => {
                     return self.reject(503, &error.to_string()).await;
                 }
             }
--- a/crates/http/src/server/connections.rs
+++ b/crates/http/src/server/connections.rs
@@ -1,11 +1,18 @@
 //! The open connections of a server: their number, and which of them can be closed to make room for others, because
-//! they are idle or have sent their last response.
+//! they have sent their last response, are idle or have not received a complete request yet.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use event_listener::{Event, EventListener};
+use futures_lite::future;
+
+/// Minimum time for a client to send its request before its connection is closed to make room for another one, so that a
+/// client that has just connected is not taken for a silent one.
+const ARRIVAL_GRACE: Duration = Duration::from_millis(20);
 
 /// The numbers of a server's connections at one time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -19,17 +26,38 @@
     pub closing: usize,
 }
 
+/// A connection that can be closed to make room for another one.
+struct Evictable {
+    /// When it got into its present state.
+    since: Instant,
+    /// Notified to close the connection.
+    close: Rc<Event>,
+}
+
+impl Evictable {
+    fn new(close: Rc<Event>) -> Evictable {
+        Evictable {
+            since: Instant::now(),
+            close,
+        }
+    }
+}
+
+/// Connections in the same state, in the order in which they got into it.
+type Evictables = BTreeMap<u64, Evictable>;
+
 #[derive(Default)]
 struct ConnectionsState {
     open: usize,
     last_key: u64,
-    /// Idle connections that never sent a request, in the order in which they became idle, each with the event that
-    /// asks it to close.
-    unused: BTreeMap<u64, Rc<Event>>,
-    /// Idle connections that are between two requests, in the same form.
-    idle: BTreeMap<u64, Rc<Event>>,
-    /// Connections that have sent their last response, in the order in which they did, in the same form.
-    closing: BTreeMap<u64, Rc<Event>>,
+    /// Idle connections that never sent a complete request.
+    unused: Evictables,
+    /// Idle connections that are between two requests.
+    idle: Evictables,
+    /// Connections whose second or a later request is arriving.
+    receiving: Evictables,
+    /// Connections that have sent their last response.
+    closing: Evictables,
     closes_after_response: bool,
     closes_when_idle: bool,
 }
@@ -40,7 +68,7 @@
         self.last_key
     }
 
-    fn idle_connections(&mut self, is_unused: bool) -> &mut BTreeMap<u64, Rc<Event>> {
+    fn idle_connections(&mut self, is_unused: bool) -> &mut Evictables {
         if is_unused {
             &mut self.unused
         } else {
@@ -48,13 +76,25 @@
         }
     }
 
-    /// Removes the connection that is closed first to make room: the oldest that has sent its last response, else the
-    /// one that has been idle for longest, of those that never sent a request if there are any.
-    fn pop_evictable(&mut self) -> Option<Rc<Event>> {
-        let oldest = self.closing.pop_first();
-        let oldest = oldest.or_else(|| self.unused.pop_first());
-        let (_, close) = oldest.or_else(|| self.idle.pop_first())?;
-        Some(close)
+    /// Closes one connection to make room: the oldest that has sent its last response, else the one that has been idle
+    /// for longest, of those that never sent a request if there are any, else the one whose request has been arriving
+    /// for longest. Returns when one may be closed if that is too early now.
+    fn evict_one(&mut self, now: Instant) -> Option<Instant> {
+        let in_order = [
+            (&mut self.closing, Duration::ZERO),
+            (&mut self.unused, ARRIVAL_GRACE),
+            (&mut self.idle, Duration::ZERO),
+            (&mut self.receiving, ARRIVAL_GRACE),
+        ];
+        let mut in_order = in_order.into_iter();
+        let (connections, grace) = in_order.find(|(connections, _)| !connections.is_empty())?;
+        let oldest = connections.first_entry()?;
+        let evictable_at = oldest.get().since + grace;
+        if evictable_at > now {
+            return Some(evictable_at);
+        }
+        oldest.remove().close.notify(usize::MAX);
+        None
     }
 }
 
@@ -99,16 +139,20 @@
                 return;
             }
             tracing::debug!(counts = ?self.counts(), "connection limit reached, accepting is suspended");
-            self.evict_one();
-            room_changed.await;
+            match self.evict_one() {
+                Some(evictable_at) => {
+                    let evictable = async { _ = Timer::at(evictable_at).await };
+                    future::or(room_changed, evictable).await;
+                }
+                None => room_changed.await,
+            }
         }
     }
 
-    /// Asks one connection to close that has sent its last response or, if there is none, is idle.
-    pub fn evict_one(&self) {
-        if let Some(close) = self.state.borrow_mut().pop_evictable() {
-            close.notify(usize::MAX);
-        }
+    /// Asks one connection to close that has sent its last response, is idle or has no complete request, in this order.
+    /// If the time that its client has for sending a request has not passed, returns when it will have.
+    pub(super) fn evict_one(&self) -> Option<Instant> {
+        self.state.borrow_mut().evict_one(Instant::now())
     }
 
     /// Makes each further response announce that its connection is closed after it, so that no client sends a request
@@ -123,8 +167,8 @@
         (state.closes_after_response, state.closes_when_idle) = (true, true);
         let unused = std::mem::take(&mut state.unused).into_values();
         let idle = std::mem::take(&mut state.idle).into_values();
-        for close in unused.chain(idle) {
-            close.notify(usize::MAX);
+        for connection in unused.chain(idle) {
+            connection.close.notify(usize::MAX);
         }
     }
 
@@ -136,7 +180,6 @@
             connections: self.clone(),
             key: Cell::new(state.next_key()),
             is_unused: Cell::new(true),
-            is_idle: Cell::new(false),
         }
     }
 }
@@ -146,7 +189,6 @@
     connections: Rc<ServerConnections>,
     key: Cell<u64>,
     is_unused: Cell<bool>,
-    is_idle: Cell<bool>,
 }
 
 impl ConnectionRegistration {
@@ -165,48 +207,50 @@
         self.connections.state.borrow().closes_when_idle
     }
 
-    /// Returns whether the connection is idle, that is, waits for a request. The first request of a connection counts
-    /// only once it is complete, so that sending a part of it does not keep the connection's place.
-    pub(super) fn is_idle(&self) -> bool {
-        self.is_idle.get()
-    }
-
-    /// Marks the connection as idle. Returns a listener that is notified when the connection is to be closed.
+    /// Marks the connection as idle, that is, waiting for a request. The first request of a connection counts only once
+    /// it is complete, so that sending a part of it does not keep the connection's place. Returns a listener that is notified when the connection is to be closed.
     pub(super) fn mark_idle(&self) -> EventListener {
-        let close = Rc::new(Event::new());
-        let listener = close.listen();
-        let mut state = self.connections.state.borrow_mut();
-        self.is_idle.set(true);
-        if state.closes_when_idle {
+        if self.closes_when_idle() {
+            let close = Event::new();
+            let listener = close.listen();
             close.notify(usize::MAX);
             return listener;
         }
-        let key = state.next_key();
-        self.key.set(key);
-        state
-            .idle_connections(self.is_unused.get())
-            .insert(key, close);
-        drop(state);
-        self.connections.room_changed.notify(1);
-        listener
+        self.insert_evictable(|state| state.idle_connections(self.is_unused.get()))
+    }
+
+    /// Marks the connection as receiving a request after its first one. Returns a listener that is notified when its
+    /// place is needed for another connection.
+    pub(super) fn mark_receiving(&self) -> EventListener {
+        self.remove_from_evictable();
+        self.insert_evictable(|state| &mut state.receiving)
     }
 
     /// Marks the connection as having a request in progress.
     pub(super) fn mark_active(&self) {
         self.remove_from_evictable();
-        self.is_idle.set(false);
         self.is_unused.set(false);
+        // The acceptor may be waiting to close this connection, and has to choose another one.
+        self.connections.room_changed.notify(1);
     }
 
     /// Marks an active connection as having sent its last response. Returns a listener that is notified when its place
     /// is needed for another connection.
     pub(super) fn mark_closing(&self) -> EventListener {
+        self.insert_evictable(|state| &mut state.closing)
+    }
+
+    /// Adds the connection to those that can be closed to make room.
+    fn insert_evictable(
+        &self,
+        connections: impl FnOnce(&mut ConnectionsState) -> &mut Evictables,
+    ) -> EventListener {
         let close = Rc::new(Event::new());
         let listener = close.listen();
         let mut state = self.connections.state.borrow_mut();
         let key = state.next_key();
         self.key.set(key);
-        state.closing.insert(key, close);
+        connections(&mut state).insert(key, Evictable::new(close));
         drop(state);
         self.connections.room_changed.notify(1);
         listener
@@ -214,9 +258,11 @@
 
     fn remove_from_evictable(&self) {
         let mut state = self.connections.state.borrow_mut();
-        state.closing.remove(&self.key.get());
-        state.unused.remove(&self.key.get());
-        state.idle.remove(&self.key.get());
+        let key = self.key.get();
+        state.closing.remove(&key);
+        state.unused.remove(&key);
+        state.idle.remove(&key);
+        state.receiving.remove(&key);
     }
 }
 
--- a/crates/http/src/server/connections/tests.rs
+++ b/crates/http/src/server/connections/tests.rs
@@ -22,6 +22,7 @@
         idle.mark_active();
         let (mut close_idle, mut close_unused) = (idle.mark_idle(), unused.mark_idle());
         assert_eq!(connections.counts(), counts(3, 1));
+        std::thread::sleep(ARRIVAL_GRACE);
         let mut capacity = Box::pin(connections.wait_for_capacity());
         assert!(
             poll_once(&mut capacity).await.is_none(),
@@ -81,7 +82,46 @@
         connections.evict_one();
         assert!(poll_once(&mut close_second).await.is_some());
         assert!(poll_once(&mut close_unused).await.is_none());
+        std::thread::sleep(ARRIVAL_GRACE);
         connections.evict_one();
         assert!(poll_once(&mut close_unused).await.is_some());
     });
 }
+
+/// Guards against a client that has just connected and is closed before it could send its request.
+#[test]
+fn a_connection_is_not_closed_for_another_one_before_its_client_could_send_a_request() {
+    block_on(async {
+        let connections = Rc::new(ServerConnections::new(2));
+        let (unused, idle) = (connections.register(), connections.register());
+        idle.mark_active();
+        let mut close_unused = unused.mark_idle();
+        let mut close_idle = idle.mark_idle();
+        let connected_at = Instant::now();
+        let mut capacity = Box::pin(connections.wait_for_capacity());
+        assert!(poll_once(&mut capacity).await.is_none());
+        assert!(poll_once(&mut close_unused).await.is_none());
+        assert!(poll_once(&mut close_idle).await.is_none());
+        let closed = async {
+            close_unused.await;
+            connected_at.elapsed()
+        };
+        let never = async {
+            capacity.await;
+            Duration::ZERO
+        };
+        assert!(future::or(closed, never).await + Duration::from_millis(1) >= ARRIVAL_GRACE);
+        drop(unused);
+        // A second request that is arriving keeps its place for as long, and a complete one for good.
+        let mut close_receiving = idle.mark_receiving();
+        assert!(connections.evict_one().is_some());
+        std::thread::sleep(ARRIVAL_GRACE);
+        assert!(connections.evict_one().is_none());
+        assert!(poll_once(&mut close_receiving).await.is_some());
+        let mut close_receiving = idle.mark_receiving();
+        idle.mark_active();
+        std::thread::sleep(ARRIVAL_GRACE);
+        assert!(connections.evict_one().is_none());
+        assert!(poll_once(&mut close_receiving).await.is_none());
+    });
+}
--- a/crates/http/src/server/request_reader.rs
+++ b/crates/http/src/server/request_reader.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::time::Duration;
 
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, future};
 
@@ -50,11 +51,13 @@
     /// The budget for the content of incomplete requests is exhausted.
     #[error("too much request content is arriving at once; retry later")]
     IncomingBudget,
+    /// The connection's place is needed for another one before its request is complete.
+    #[error("too many connections, and the request was not complete; retry later")]
+    Evicted,
 }
 
 /// Waits for the next request. Returns `None` if the client closes the connection, or the server asks for it to be
-/// closed. The connection is idle while this waits for the first byte, and for its first request until that is
-/// complete. It is active when this returns.
+/// closed. The connection is active when this returns.
 pub(super) async fn next_request<S: AsyncRead + AsyncWrite + Unpin>(
     stream: &mut S,
     decoder: &mut Decoder,
@@ -62,34 +65,68 @@
     registration: &ConnectionRegistration,
 ) -> Result<Option<IncomingRequest>, ReadError> {
     decoder.shrink();
-    let (is_first_request, close) = (registration.is_unused(), registration.mark_idle());
+    let next = if registration.is_unused() {
+        first_request(stream, decoder, context, registration).await
+    } else {
+        later_request(stream, decoder, context, registration).await
+    };
+    registration.mark_active();
+    next
+}
+
+/// Waits for the first request of a connection, which is idle until the request is complete.
+async fn first_request<S: AsyncRead + AsyncWrite + Unpin>(
+    stream: &mut S,
+    decoder: &mut Decoder,
+    context: &Context,
+    registration: &ConnectionRegistration,
+) -> Result<Option<IncomingRequest>, ReadError> {
+    let close = registration.mark_idle();
     let request_has_begun = Cell::new(decoder.is_inside_message());
     let read = async {
-        if !wait_for_first_byte(stream, decoder, context, is_first_request).await? {
+        let limit = context.config.first_byte_timeout;
+        if !wait_for_first_byte(stream, decoder, context, limit).await? {
             return Ok(None);
         }
         request_has_begun.set(true);
-        if !is_first_request {
-            registration.mark_active();
-        }
-        let reservation = context.incoming.reservation();
-        let request = read_request(stream, decoder, reservation);
-        let limit = context.config.request_timeout;
-        context.timer.timeout(limit, request).await
+        read_request(stream, decoder, context).await
     };
     let close_requested = async {
         close.await;
-        // A request that has begun to arrive is still read, except for the first of a connection: if the connection is
-        // closed to make room for others, and not because the server closes all, an incomplete first request is
-        // dropped.
-        if !registration.is_idle() || (registration.closes_when_idle() && request_has_begun.get()) {
+        // An incomplete request is dropped if its connection is closed to make room for others, and still received if
+        // the server closes all.
+        if registration.closes_when_idle() && request_has_begun.get() {
             future::pending::<()>().await;
         }
         Ok(None)
     };
-    let next = future::or(read, close_requested).await;
-    registration.mark_active();
-    next
+    future::or(read, close_requested).await
+}
+
+/// Waits for a further request of a connection, which is idle until the first byte. While the rest arrives, it is the
+/// last that is closed to make room for others.
+async fn later_request<S: AsyncRead + AsyncWrite + Unpin>(
+    stream: &mut S,
+    decoder: &mut Decoder,
+    context: &Context,
+    registration: &ConnectionRegistration,
+) -> Result<Option<IncomingRequest>, ReadError> {
+    let close = registration.mark_idle();
+    let limit = context.config.idle_timeout;
+    let first_byte = wait_for_first_byte(stream, decoder, context, limit);
+    let close_requested = async {
+        close.await;
+        Ok(false)
+    };
+    if !future::or(first_byte, close_requested).await? {
+        return Ok(None);
+    }
+    let evicted = registration.mark_receiving();
+    let evicted = async {
+        evicted.await;
+        Err(ReadError::Evicted)
+    };
+    future::or(read_request(stream, decoder, context), evicted).await
 }
 
 /// Waits until a request begins. Returns `false` if the client closes the connection instead.
@@ -97,24 +134,28 @@
     stream: &mut S,
     decoder: &mut Decoder,
     context: &Context,
-    is_first_request: bool,
+    limit: Duration,
 ) -> io::Result<bool> {
     if decoder.is_inside_message() {
         return Ok(true);
     }
-    let limit = if is_first_request {
-        context.config.first_byte_timeout
-    } else {
-        context.config.idle_timeout
-    };
-    let count = context
-        .timer
-        .timeout(limit, read_into(stream, decoder))
-        .await?;
+    let read = read_into(stream, decoder);
+    let count = context.timer.timeout(limit, read).await?;
     Ok(count > 0)
 }
 
+/// Reads the rest of a request that has begun, within the limits of size and time.
 async fn read_request<S: AsyncRead + AsyncWrite + Unpin>(
+    stream: &mut S,
+    decoder: &mut Decoder,
+    context: &Context,
+) -> Result<Option<IncomingRequest>, ReadError> {
+    let request = decode_request(stream, decoder, context.incoming.reservation());
+    let limit = context.config.request_timeout;
+    context.timer.timeout(limit, request).await
+}
+
+async fn decode_request<S: AsyncRead + AsyncWrite + Unpin>(
     stream: &mut S,
     decoder: &mut Decoder,
     mut reservation: IncomingReservation,
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -278,3 +278,30 @@
         drop(rejected);
     });
 }
+
+/// Guards against a client whose second request never becomes complete and that keeps its place meanwhile, and against
+/// closing it without a response.
+#[test]
+fn a_client_with_an_incomplete_second_request_is_rejected_to_make_room() {
+    // The server closes connections as soon as no place is free for a further one.
+    run_test(2, async |server| {
+        let mut slow = send_request(server.address);
+        wait_until(|| server.requests.get() == 1).await;
+        server.release.notify(usize::MAX);
+        let first = slow.try_clone().expect("a copy");
+        assert!(
+            read_response(first)
+                .await
+                .expect("a response")
+                .contains("200")
+        );
+        slow.write_all(&GET_REQUEST[..8]).expect("written");
+        let other = send_request(server.address);
+        wait_until(|| server.requests.get() == 2).await;
+        let text = read_response(slow).await.expect("a response, and no reset");
+        assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+        server.release.notify(usize::MAX);
+        let text = read_response(other).await.expect("a response");
+        assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    });
+}
--- a/crates/platform-router/tests/abusive_clients.rs
+++ b/crates/platform-router/tests/abusive_clients.rs
@@ -199,3 +199,48 @@
         executor.run(all_end).await;
     });
 }
+
+/// Sends a complete request, reads its response, and then sends one byte of a second request each 100 ms until the
+/// connection is closed. Returns the time from the first of these bytes to the close or to a response.
+async fn send_second_request_slowly(mut stream: Async<TcpStream>) -> Duration {
+    let ping = b"GET /ping HTTP/1.1\r\nHost: h\r\n\r\n";
+    if stream.write_all(ping).await.is_err() || read_response(&mut stream).await.is_none() {
+        return Duration::ZERO;
+    }
+    let started = Instant::now();
+    let send = async {
+        let mut byte = b"POST /call/".iter().cycle();
+        while let Some(byte) = byte.next()
+            && (&stream).write_all(&[*byte]).await.is_ok()
+        {
+            Timer::after(Duration::from_millis(100)).await;
+        }
+    };
+    let receive = async {
+        let _ = (&stream).read(&mut [0; 64]).await;
+    };
+    future::or(send, receive).await;
+    started.elapsed()
+}
+
+/// Guards against clients whose first request was served and whose second one never becomes complete: they must not keep
+/// all places until it times out.
+#[test]
+fn incomplete_second_requests_of_many_clients_do_not_keep_others_from_being_served() {
+    run_with_active_client("second", async |router, listen| {
+        let executor = LocalExecutor::new();
+        let mut open = Vec::new();
+        for _ in 0..4 * router.budget().client_connections {
+            open.push(
+                executor.spawn(async { send_second_request_slowly(connect(listen).await).await }),
+            );
+        }
+        let all_end = async {
+            for client in open {
+                let elapsed = client.await;
+                assert!(elapsed < TIME_LIMIT, "{elapsed:?}");
+            }
+        };
+        executor.run(all_end).await;
+    });
+}
