Statement router: the timeout of reads of discovery and engines adapts to slow servers

Callers saw: with a discovery that takes 1 s for its list and a timeout of 300 ms, a router never learned that an engine had gone (20 s, all requests for the list abandoned). Reads of an engine's state, by which drains are known, had the limit too. Change: AdaptiveTimeout doubles after a read without a response in time, to 8 s at most, stays while responses are late, and returns to the configured one after a quick response or where the server is not reached. Connecting keeps the configured limit, and a lease bounds its reads as before. Mock discovery has the fault list_delay.

--- a/crates/mock-servers/src/discovery.rs
+++ b/crates/mock-servers/src/discovery.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use hoptiller_audit::{Record, Recorder, unix_micros};
 use hoptiller_http::server::{Config, Handler, Reply};
 use hoptiller_http::{Method, Request, Response, Spawner};
@@ -31,6 +32,8 @@
     pub stale: bool,
     /// Whether it closes every connection without a response.
     pub down: bool,
+    /// The time that it takes to respond to a request for its list.
+    pub list_delay: Duration,
 }
 
 /// The configuration of a mock discovery service.
@@ -91,7 +94,13 @@
     let discovery = RefCell::new(Discovery::new(config));
     let handler: Handler = Rc::new(move |request| {
         let reply = discovery.borrow_mut().respond(&request);
-        Box::pin(async move { reply })
+        let delay = discovery.borrow().response_delay(&request);
+        Box::pin(async move {
+            if !delay.is_zero() {
+                Timer::after(delay).await;
+            }
+            reply
+        })
     });
     let server_spawner = spawner.clone();
     spawner.spawn(async move {
@@ -129,8 +138,20 @@
         }
     }
 
+    fn faults(&self) -> DiscoveryFaults {
+        self.config.faults.lock().map(|f| *f).unwrap_or_default()
+    }
+
+    fn response_delay(&self, request: &Request) -> Duration {
+        if request.path().starts_with(SERVICE_PATH) {
+            self.faults().list_delay
+        } else {
+            Duration::ZERO
+        }
+    }
+
     fn respond(&mut self, request: &Request) -> Reply {
-        let faults = self.config.faults.lock().map(|f| *f).unwrap_or_default();
+        let faults = self.faults();
         if faults.down {
             return Reply::Close;
         }
--- a/crates/statement-router/src/discovery.rs
+++ b/crates/statement-router/src/discovery.rs
@@ -3,6 +3,7 @@
 //! In a fleet with these tasks, the holder of a task lease performs them for all routers, and the others use its
 //! notes. The readings are interpreted in [`endpoint_list`](crate::endpoint_list).
 
+mod adaptive_timeout;
 mod engine_state;
 mod request;
 
@@ -24,6 +25,7 @@
 use crate::endpoint_list::EndpointList;
 use crate::fleet_member::{FleetMember, LeasedOperation};
 use crate::settings::Settings;
+use adaptive_timeout::AdaptiveTimeout;
 
 /// Consecutive failed reads after which another router takes over reading the list.
 const MAX_FAILED_READS: u32 = 3;
@@ -67,6 +69,7 @@
     is_failing: Cell<bool>,
     /// Consecutive failed reads since the task was last handed over.
     failed_reads: Cell<u32>,
+    list_timeout: RefCell<AdaptiveTimeout>,
     refresh_requested: Event,
 }
 
@@ -85,6 +88,7 @@
             kind_names(&settings),
             settings.zones.clone(),
         );
+        let list_timeout = AdaptiveTimeout::new(settings.discovery.timeout);
         Rc::new(Discovery {
             settings,
             endpoints: RefCell::new(endpoints),
@@ -93,6 +97,7 @@
             observations: RefCell::default(),
             is_failing: Cell::new(false),
             failed_reads: Cell::new(0),
+            list_timeout: RefCell::new(list_timeout),
             refresh_requested: Event::new(),
         })
     }
@@ -198,7 +203,9 @@
     ) -> Result<Services, ListError> {
         let discovery = &self.settings.discovery;
         let target = format!("{SERVICE_PATH}{ENGINE_SERVICE_TYPE}/general");
-        let response = self.get(discovery.address, &target, operation).await?;
+        let response = self
+            .get(discovery.address, &target, operation, &self.list_timeout)
+            .await?;
         if response.status.0 != 200 {
             return Err(ListError::Status(response.status.0));
         }
--- a/crates/statement-router/src/discovery/engine_state.rs
+++ b/crates/statement-router/src/discovery/engine_state.rs
@@ -1,5 +1,6 @@
 //! Reads the state and the uptime of each listed engine.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -14,6 +15,7 @@
 use hoptiller_statement::discovery::{NodeInfo, NodeState};
 use hoptiller_statement::parse_duration;
 
+use super::adaptive_timeout::AdaptiveTimeout;
 use super::{Discovery, EndpointListener, ShardObservations};
 use crate::fleet_member::LeasedOperation;
 
@@ -26,6 +28,13 @@
     state: Option<NodeState>,
 }
 
+/// The server of an engine, and the timeout of requests to it.
+#[derive(Clone, Copy)]
+struct EngineServer<'a> {
+    addr: SocketAddr,
+    timeout: &'a RefCell<AdaptiveTimeout>,
+}
+
 impl Discovery {
     /// Starts a watching task for each listed engine that has none.
     pub(super) fn start_engine_watchers(
@@ -46,6 +55,7 @@
 
     /// Reads the state of an engine at the configured interval for as long as the engine is listed.
     async fn watch_engine(&self, name: &str, listener: &dyn EndpointListener) {
+        let timeout = RefCell::new(AdaptiveTimeout::new(self.settings.discovery.timeout));
         loop {
             let addr = self.endpoints.borrow().address(name);
             let Some(addr) = addr else { return };
@@ -55,7 +65,11 @@
             match assignment {
                 TaskAssignment::Remote(note) => self.apply_note(name, &note, listener.now()),
                 assignment => {
-                    self.read_engine(name, addr, &assignment, shard, listener)
+                    let server = EngineServer {
+                        addr,
+                        timeout: &timeout,
+                    };
+                    self.read_engine(name, server, &assignment, shard, listener)
                         .await;
                 }
             }
@@ -89,14 +103,14 @@
     async fn read_engine(
         &self,
         name: &str,
-        addr: SocketAddr,
+        server: EngineServer<'_>,
         assignment: &TaskAssignment,
         shard: Option<Shard>,
         listener: &dyn EndpointListener,
     ) {
         let operation = shard.map_or(Ok(None), |shard| self.begin(assignment, shard));
         let Ok(operation) = operation else { return };
-        let reading = self.request_state(addr, operation.as_ref()).await;
+        let reading = self.request_state(server, operation.as_ref()).await;
         if let Some(uptime) = reading.uptime {
             let mut endpoints = self.endpoints.borrow_mut();
             endpoints.update_uptime(listener.now(), name, uptime);
@@ -117,19 +131,20 @@
 
     async fn request_state(
         &self,
-        addr: SocketAddr,
+        server: EngineServer<'_>,
         operation: Option<&LeasedOperation>,
     ) -> EngineReading {
         let mut reading = EngineReading {
             uptime: None,
             state: None,
         };
-        if let Ok(response) = self.get(addr, INFO_PATH, operation).await
+        let EngineServer { addr, timeout } = server;
+        if let Ok(response) = self.get(addr, INFO_PATH, operation, timeout).await
             && let Ok(info) = serde_json::from_slice::<NodeInfo>(&response.body)
         {
             reading.uptime = parse_duration(&info.uptime);
         }
-        if let Ok(response) = self.get(addr, STATE_PATH, operation).await {
+        if let Ok(response) = self.get(addr, STATE_PATH, operation, timeout).await {
             reading.state = serde_json::from_slice(&response.body).ok();
         }
         reading
--- a/crates/statement-router/tests/failures.rs
+++ b/crates/statement-router/tests/failures.rs
@@ -242,7 +242,7 @@
     // Discovery does not notice that an engine has crashed.
     cluster.discovery.inject_faults(DiscoveryFaults {
         stale: true,
-        down: false,
+        ..DiscoveryFaults::default()
     });
     cluster.crash_engine(0);
     for _ in 0..4 {
@@ -379,7 +379,7 @@
     cluster.assert_served(&cluster.request("lookup", "SELECT 1 /* work=5ms */"));
     cluster.discovery.inject_faults(DiscoveryFaults {
         stale: true,
-        down: false,
+        ..DiscoveryFaults::default()
     });
     cluster.crash_engine(0);
     cluster.start_engine(0);
