Coordination client: a replica that is slow is heard while the next one is called

Callers saw: where all replicas respond slower than the timeout of a call, no call has a result; a router's lease (0.7 s for each replica) is then never renewed. Change: the call to the next replica begins after the same time, and the earlier ones stay open until the last replica has had its time. The number of calls, the time until the next replica is called and the whole time stay as they were; calls were idempotent already, as the next replica got each again. Tests: slow_replicas.rs; replicas_that_all_respond_slower_than_the_timeout_are_heard failed before (three time-outs) and passes; a_silent_replica_does_not_delay_a_call_by_more_than_its_timeout and a_call_to_silent_replicas_ends_after_the_timeouts_of_all held before as after.

--- a/crates/coordination-client/src/client.rs
+++ b/crates/coordination-client/src/client.rs
@@ -1,16 +1,19 @@
 //! Calls to the replicas of the coordination server. The replica that answered last is tried first, and the others in
-//! turn if it does not answer. Whether a call without a response took effect is unknown, so every call must be
+//! turn, beside it, if it does not answer. Whether a call without a response took effect is unknown, so every call must be
 //! idempotent: the next replica gets it again.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use async_io::Timer;
+use futures_lite::future;
 use hoptiller_http::client::{ClientError, Connection};
 use hoptiller_http::{Limits, Method, Request, Response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::pending_calls::{CompletedCall, PendingCalls};
 use crate::secret::Secret;
 use crate::wire::{ErrorBody, MAX_BODY_BYTES};
 
@@ -106,8 +109,9 @@
         &self.endpoints
     }
 
-    /// Calls one replica after the other until one answers, each within `timeout`. Sends a POST if there is a body, and
-    /// a GET otherwise.
+    /// Calls one replica after the other until one answers: the next one if the last has failed or has not answered within
+    /// `timeout`. The earlier calls stay open meanwhile, so that replicas that are all slow are heard. Without any answer,
+    /// the call ends after `timeout` for each replica. Sends a POST if there is a body, and a GET otherwise.
     ///
     /// # Errors
     ///
@@ -118,19 +122,32 @@
         body: Option<&impl Serialize>,
         timeout: Duration,
     ) -> Result<T, CallError> {
-        let mut failures = Vec::new();
-        for offset in 0..self.endpoints.len() {
-            let index = (self.preferred.get() + offset) % self.endpoints.len();
-            match self
-                .call_endpoint(self.endpoints[index], path, body, timeout)
-                .await
-            {
-                Ok(response) => {
-                    self.preferred.set(index);
-                    return Ok(response);
+        let (mut failures, mut calls) = (Vec::new(), PendingCalls::new());
+        let count = self.endpoints.len();
+        let first = self.preferred.get();
+        for offset in 0..count {
+            let replica = (first + offset) % count;
+            // Until the last replica has had its time, those before it may still answer.
+            let remaining = (count - offset) as u32;
+            let endpoint = self.endpoints[replica];
+            calls.push(
+                replica,
+                self.call_endpoint(endpoint, path, body, timeout * remaining),
+            );
+            let is_last = remaining == 1;
+            let next_due = (!is_last).then(|| Instant::now() + timeout);
+            while let Some(completed) = next_completed(&mut calls, next_due).await {
+                match completed.result {
+                    Ok(response) => {
+                        self.preferred.set(completed.replica);
+                        return Ok(response);
+                    }
+                    Err(CallError::Unavailable(failed)) => failures.extend(failed),
+                    Err(rejected) => return Err(rejected),
+                }
+                if completed.replica == replica && !is_last {
+                    break;
                 }
-                Err(CallError::Unavailable(failed)) => failures.extend(failed),
-                Err(rejected) => return Err(rejected),
             }
         }
         Err(CallError::Unavailable(failures))
@@ -204,6 +221,21 @@
     }
 }
 
+/// Waits until a call completes. Returns `None` if none is pending, or at `limit` if there is one.
+async fn next_completed<T>(
+    calls: &mut PendingCalls<'_, T>,
+    limit: Option<Instant>,
+) -> Option<CompletedCall<T>> {
+    let limit_reached = async {
+        match limit {
+            Some(limit) => _ = Timer::at(limit).await,
+            None => future::pending().await,
+        }
+        None
+    };
+    future::or(calls.next_completed(), limit_reached).await
+}
+
 /// Returns the message in the body of an error response, or a message with the status if there is none.
 fn error_message(response: &Response) -> String {
     serde_json::from_slice::<ErrorBody>(&response.body).map_or_else(
--- a/crates/coordination-client/src/lib.rs
+++ b/crates/coordination-client/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod clock;
+mod pending_calls;
 pub mod secret;
 pub mod wire;
 
