--- a/crates/platform-router/src/attempt.rs
+++ b/crates/platform-router/src/attempt.rs
@@ -8,9 +8,11 @@
 use hoptiller_policy::{AttemptStatus, LoadReport, Micros};
 
 use crate::cancel::CancelToken;
-use crate::connection::MAX_BYTES_PER_REQUEST;
 use crate::endpoint::EndpointState;
 
+/// Maximum bytes that an engine may send during one request. A result and a duplicate of it are far smaller.
+pub(crate) const MAX_BYTES_PER_REQUEST: usize = 512 << 10;
+
 /// An attempt that the policy decided on.
 pub struct AttemptRequest<'a> {
     /// The statement to be executed.
--- a/crates/platform-router/src/connection.rs
+++ b/crates/platform-router/src/connection.rs
@@ -8,15 +8,13 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use hoptiller_platform_protocol::{LineDecoder, ResponseBody};
 
-use crate::attempt::AttemptError;
+use crate::attempt::{AttemptError, MAX_BYTES_PER_REQUEST};
 use crate::connection_limiter::ConnectionPermit;
 use crate::endpoint::EndpointState;
 
 /// Maximum number of requests on a connection, which bounds the list of remembered request ids. No id is sent twice on
 /// a connection, as a late or duplicate response to the first attempt would be mistaken for the response to the second.
 const MAX_REQUESTS: usize = 256;
-/// Maximum bytes that an engine may send during one request. A result and a duplicate of it are far smaller.
-pub(crate) const MAX_BYTES_PER_REQUEST: usize = 512 << 10;
 /// Maximum bytes that an engine may have sent while the connection was idle.
 const MAX_IDLE_BYTES: usize = 64 << 10;
 const READ_BUFFER_BYTES: usize = 4096;
