HTTP server: accepting does not wait for a fresh connection; others are closed first

Change: no wait. A connection that had no 20 ms yet to send its request is closed after idle ones and after those whose request has been arriving for longer.

--- a/crates/http/src/server/connections.rs
+++ b/crates/http/src/server/connections.rs
@@ -6,12 +6,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
 use event_listener::{Event, EventListener};
-use futures_lite::future;
 
-/// Minimum time for a client to send its request before its connection is closed to make room for another one, so that a
-/// client that has just connected is not taken for a silent one.
+/// Time for a client to send its request in which other connections are closed to make room, so that a client that has
+/// just connected is not taken for a silent one.
 const ARRIVAL_GRACE: Duration = Duration::from_millis(20);
 
 /// The numbers of a server's connections at one time.
@@ -76,25 +74,28 @@
         }
     }
 
-    /// Closes one connection to make room: the oldest that has sent its last response, else the one that has been idle
-    /// for longest, of those that never sent a request if there are any, else the one whose request has been arriving
-    /// for longest. Returns when one may be closed if that is too early now.
-    fn evict_one(&mut self, now: Instant) -> Option<Instant> {
-        let in_order = [
-            (&mut self.closing, Duration::ZERO),
-            (&mut self.unused, ARRIVAL_GRACE),
-            (&mut self.idle, Duration::ZERO),
-            (&mut self.receiving, ARRIVAL_GRACE),
-        ];
-        let mut in_order = in_order.into_iter();
-        let (connections, grace) = in_order.find(|(connections, _)| !connections.is_empty())?;
-        let oldest = connections.first_entry()?;
-        let evictable_at = oldest.get().since + grace;
-        if evictable_at > now {
-            return Some(evictable_at);
+    /// Closes one connection to make room: the oldest that has sent its last response, else one that waits for its client.
+    /// Of these, it is the one that has been idle for longest, first of those that never sent a request, else the one
+    /// whose request has been arriving for longest. Clients get the time to send a request while there are others.
+    fn evict_one(&mut self, now: Instant) {
+        let is_due = |connections: &Evictables| {
+            let oldest = connections.first_key_value();
+            oldest.is_some_and(|(_, oldest)| now.duration_since(oldest.since) >= ARRIVAL_GRACE)
+        };
+        let candidates = if !self.closing.is_empty() {
+            &mut self.closing
+        } else if is_due(&self.unused) {
+            &mut self.unused
+        } else if !self.idle.is_empty() {
+            &mut self.idle
+        } else if is_due(&self.receiving) || self.unused.is_empty() {
+            &mut self.receiving
+        } else {
+            &mut self.unused
+        };
+        if let Some((_, oldest)) = candidates.pop_first() {
+            oldest.close.notify(usize::MAX);
         }
-        oldest.remove().close.notify(usize::MAX);
-        None
     }
 }
 
@@ -139,20 +140,14 @@
                 return;
             }
             tracing::debug!(counts = ?self.counts(), "connection limit reached, accepting is suspended");
-            match self.evict_one() {
-                Some(evictable_at) => {
-                    let evictable = async { _ = Timer::at(evictable_at).await };
-                    future::or(room_changed, evictable).await;
-                }
-                None => room_changed.await,
-            }
+            self.evict_one();
+            room_changed.await;
         }
     }
 
     /// Asks one connection to close that has sent its last response, is idle or has no complete request, in this order.
-    /// If the time that its client has for sending a request has not passed, returns when it will have.
-    pub(super) fn evict_one(&self) -> Option<Instant> {
-        self.state.borrow_mut().evict_one(Instant::now())
+    pub(super) fn evict_one(&self) {
+        self.state.borrow_mut().evict_one(Instant::now());
     }
 
     /// Makes each further response announce that its connection is closed after it, so that no client sends a request
@@ -230,8 +225,6 @@
     pub(super) fn mark_active(&self) {
         self.remove_from_evictable();
         self.is_unused.set(false);
-        // The acceptor may be waiting to close this connection, and has to choose another one.
-        self.connections.room_changed.notify(1);
     }
 
     /// Marks an active connection as having sent its last response. Returns a listener that is notified when its place
