CLI: errors of commands convert themselves, so error.rs imports no command

Cause: error.rs imported the errors of four commands, which import CommandError: an import circle of six files. Change: CommandError has one variant for an error of a command; each command's module converts its own. Messages, sources and exit codes stay.

--- a/crates/cli/src/commands/audit.rs
+++ b/crates/cli/src/commands/audit.rs
@@ -41,6 +41,12 @@
     },
 }
 
+impl From<AuditError> for CommandError {
+    fn from(error: AuditError) -> CommandError {
+        CommandError::command(error)
+    }
+}
+
 pub(crate) fn run(args: &Args) -> Result<ExitCode, CommandError> {
     let verdict = judge_folder(&args.dir)?;
     print_verdict(&verdict, args.json);
--- a/crates/cli/src/commands/beliefs.rs
+++ b/crates/cli/src/commands/beliefs.rs
@@ -35,6 +35,12 @@
 )]
 pub(crate) struct EmptyTraceError;
 
+impl From<EmptyTraceError> for CommandError {
+    fn from(error: EmptyTraceError) -> CommandError {
+        CommandError::command(error)
+    }
+}
+
 /// The totals of all traces.
 #[derive(Default)]
 struct Summary {
--- a/crates/cli/src/commands/experiment/mod.rs
+++ b/crates/cli/src/commands/experiment/mod.rs
@@ -8,7 +8,6 @@
 use std::process::ExitCode;
 
 use crate::error::CommandError;
-pub(crate) use runaways::MissingClassError;
 
 /// The study.
 #[derive(clap::Subcommand)]
--- a/crates/cli/src/commands/experiment/runaways.rs
+++ b/crates/cli/src/commands/experiment/runaways.rs
@@ -61,6 +61,12 @@
     class: &'static str,
 }
 
+impl From<MissingClassError> for CommandError {
+    fn from(error: MissingClassError) -> CommandError {
+        CommandError::command(error)
+    }
+}
+
 pub(crate) fn run(args: &Args) -> Result<ExitCode, CommandError> {
     let settings = load_settings(args.settings.as_deref())?;
     let seeds: Vec<u64> = (args.first_seed..).take(args.seeds as usize).collect();
--- a/crates/cli/src/commands/runaways.rs
+++ b/crates/cli/src/commands/runaways.rs
@@ -51,6 +51,12 @@
     reason: String,
 }
 
+impl From<ReleaseError> for CommandError {
+    fn from(error: ReleaseError) -> CommandError {
+        CommandError::command(error)
+    }
+}
+
 /// The body of a response that reports an error.
 #[derive(Deserialize)]
 struct ErrorBody {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -7,11 +7,6 @@
 use hoptiller_coordination_client::CallError;
 use hoptiller_statement_router::SettingError;
 
-use crate::commands::audit::AuditError;
-use crate::commands::beliefs::EmptyTraceError;
-use crate::commands::experiment::MissingClassError;
-use crate::commands::runaways::ReleaseError;
-
 /// An error of another package or of the system.
 type Source = Box<dyn Error + Send + Sync>;
 
@@ -42,18 +37,9 @@
     /// The router can't be set up from its settings.
     #[error(transparent)]
     Router(#[from] hoptiller_policy::SettingsError),
-    /// The records are missing or malformed.
-    #[error(transparent)]
-    Audit(#[from] AuditError),
-    /// The traces contain no attempts to compare.
-    #[error(transparent)]
-    EmptyTrace(#[from] EmptyTraceError),
-    /// The settings are not suitable for the study.
+    /// A command can't do its work with what it was given. Its module defines the error.
     #[error(transparent)]
-    Study(#[from] MissingClassError),
-    /// A router did not release a hold.
-    #[error(transparent)]
-    Release(#[from] ReleaseError),
+    Command(Source),
     /// The replicas rejected a proposal.
     #[error(transparent)]
     Proposal(#[from] Rejection),
@@ -91,6 +77,11 @@
         }
     }
 
+    /// Wraps the error of a command.
+    pub(crate) fn command(error: impl Into<Source>) -> CommandError {
+        CommandError::Command(error.into())
+    }
+
     /// Returns the exit code of the program.
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
