Test fleet: processes that restart have addresses that no connection can take

Cause: the harness took a port of 127.0.0.1 that was free, and the router listened there later, or again after a restart; between, an outgoing connection could get the port, as it comes from the same range. Change: stable_address gives a port of a loopback address that belongs to the process id of the test and from which no connection starts. The tests of processes use it too.

--- a/crates/cli/tests/processes/routers.rs
+++ b/crates/cli/tests/processes/routers.rs
@@ -1,9 +1,10 @@
 //! Routers that are killed or terminated, or get requests of administrators; and the demo.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
+use hoptiller_fault_harness::stable_address;
 use serde_json::{Value, json};
 
 use crate::http_client::{exchange, follow, get, submit};
@@ -46,9 +47,7 @@
             "--ledger",
             &ledger,
         ]);
-        let listen = TcpListener::bind("127.0.0.1:0")
-            .and_then(|l| l.local_addr())
-            .expect("a free port");
+        let listen = stable_address();
         let derby = examples().join("derby.jsonnet");
         let router = json!({ "name": "r1", "listen": listen.to_string(), "state": folder.path().join("state") });
         let text = format!(
@@ -185,13 +184,7 @@
 #[test]
 fn administrators_see_runaways_on_an_address_of_their_own() {
     let folder = TempFolder::new("admin");
-    let free_address = || {
-        TcpListener::bind("127.0.0.1:0")
-            .and_then(|l| l.local_addr())
-            .expect("a free port")
-            .to_string()
-    };
-    let admin = free_address();
+    let admin = stable_address().to_string();
     let example = examples().join("derby.jsonnet");
     let listen = "listen: '127.0.0.1:0', state: null";
     let change = format!(
--- a/crates/fault-harness/src/lib.rs
+++ b/crates/fault-harness/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod process;
 mod rng;
 pub mod router_scenario;
+mod stable_address;
 
 pub use client_load::{ClientLoad, ClientLoadConfig, RouterAddress, StatementDraws, WorkloadClass};
 pub use error::ScenarioError;
@@ -29,3 +30,4 @@
 pub use process::Process;
 pub use rng::SeededRng;
 pub use router_scenario::RouterScenario;
+pub use stable_address::stable_address;
--- a/crates/fault-harness/src/router_scenario/router_process.rs
+++ b/crates/fault-harness/src/router_scenario/router_process.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::{self, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,7 @@
 use crate::client_load::RouterAddress;
 use crate::error::ScenarioError;
 use crate::process::{Process, ProcessConfig, ProcessError};
+use crate::stable_address::stable_address;
 
 /// Maximum time until a router lists all engines.
 const LISTING_TIMEOUT: Duration = Duration::from_secs(20);
@@ -36,7 +37,8 @@
         discovery: SocketAddr,
     ) -> Result<RouterProcess, ScenarioError> {
         let name = format!("router-{index}");
-        let addr = free_address().map_err(ScenarioError::io(format!("port for {name}")))?;
+        // Routers keep their addresses after restarts, so that the URIs that clients hold stay valid.
+        let addr = stable_address();
         let mut settings = scenario.router_settings.clone();
         settings["router"] = json!({
             "name": name, "index": index, "of": scenario.routers, "listen": addr.to_string(),
@@ -136,9 +138,3 @@
         }
     }
 }
-
-/// Returns a loopback address that is currently free. Routers keep their addresses after restarts, so that the URIs
-/// that clients hold stay valid.
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
-}
