Review: case 9, long requests at once take a router over its memory

Need: the budget of request bodies ends when a request is complete. Open requests are bounded by their number alone, and each holds about twice its length, so hundreds of long ones exceed 32 MB at 1,024 descriptors. Change: review/9 and its check in review/cases-2.

--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review, each started by its `run.sh`:
 //! `review-cases-2 CASE ROOT FOLDER RECORD`. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 
+mod bodies;
 mod client;
 mod coordinator;
 mod engine;
@@ -54,6 +55,7 @@
         "bad-requests" => hang::run(&setting, Bad::Requests),
         "bad-message" => hang::run(&setting, Bad::Message),
         "bad-repeats" => memory::run(&setting),
+        "long-requests" => bodies::run(&setting),
         other => Err(format!("no case {other}")),
     };
     match held {
