Review: the stand-ins of cases 6 to 9 hold what the cases use

Need: the package carried parts that no case uses, and warnings with them. Change: engines, coordinator and site without faults that no case plays; formatted. No check, bound or disruption changed.

--- a/review/cases-2/src/bodies.rs
+++ b/review/cases-2/src/bodies.rs
@@ -82,7 +82,11 @@
     let _ = bad.join();
     calls.wait();
     record.say(&format!("at most {most:.1} MB of {MEMORY_MB} MB"));
-    let ended = if killed { Vec::new() } else { site.ended_routers() };
+    let ended = if killed {
+        Vec::new()
+    } else {
+        site.ended_routers()
+    };
     ended.iter().for_each(|line| record.say(line));
     let outcomes = calls.outcomes.lock().unwrap().clone();
     // What a killed router held is the client's to retry, so only its end counts.
@@ -95,10 +99,15 @@
     record.say(&format!(
         "{AT_ONCE} bad clients send router 1 a request each, of {STATEMENT_BYTES} bytes"
     ));
-    let statement = format!("SELECT a FROM sales_17.orders -- {}", "x".repeat(STATEMENT_BYTES));
+    let statement = format!(
+        "SELECT a FROM sales_17.orders -- {}",
+        "x".repeat(STATEMENT_BYTES)
+    );
     let statement = &statement[..STATEMENT_BYTES];
     let (answered, closed) = (AtomicUsize::new(0), AtomicUsize::new(0));
-    let streams: Vec<TcpStream> = (0..AT_ONCE).flat_map(|_| TcpStream::connect(addr)).collect();
+    let streams: Vec<TcpStream> = (0..AT_ONCE)
+        .flat_map(|_| TcpStream::connect(addr))
+        .collect();
     thread::scope(|scope| {
         for mut stream in streams {
             let (answered, closed) = (&answered, &closed);
@@ -108,10 +117,16 @@
                     Ok(()) => read_answer(&mut stream, Instant::now() + TROUBLE),
                     Err(_) => End::Closed,
                 };
-                let counter = if matches!(end, End::Answer(_)) { answered } else { closed };
+                let counter = if matches!(end, End::Answer(_)) {
+                    answered
+                } else {
+                    closed
+                };
                 counter.fetch_add(1, Ordering::SeqCst);
             });
         }
     });
-    record.say(&format!("bad clients: {answered:?} answered, {closed:?} closed"));
+    record.say(&format!(
+        "bad clients: {answered:?} answered, {closed:?} closed"
+    ));
 }
--- a/review/cases-2/src/client.rs
+++ b/review/cases-2/src/client.rs
@@ -29,7 +29,6 @@
 #[derive(Clone, Debug)]
 pub struct Outcome {
     pub id: String,
-    pub class: &'static str,
     pub router: usize,
     pub max_wait_ms: u64,
     /// When the last byte was written.
@@ -70,7 +69,6 @@
     let bytes = request(&id, class, max_wait_ms, statement);
     let outcome = |sent_ms: f64, end| Outcome {
         id: id.clone(),
-        class,
         router,
         max_wait_ms,
         sent_ms,
@@ -124,7 +122,8 @@
     let status = text.split(' ').nth(1)?.parse().ok()?;
     let length: usize = text.lines().find_map(|line| {
         let (name, value) = line.split_once(':')?;
-        name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse().ok())?
+        name.eq_ignore_ascii_case("content-length")
+            .then(|| value.trim().parse().ok())?
     })?;
     (bytes.len() >= head + 4 + length).then_some(status)
 }
--- a/review/cases-2/src/hang.rs
+++ b/review/cases-2/src/hang.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -59,7 +59,9 @@
                 Bad::Message => send_messages(target, &stop, &record),
             };
             let elapsed = started.elapsed();
-            record.say(&format!("the bad clients end after {elapsed:.1?}: {result:?}"));
+            record.say(&format!(
+                "the bad clients end after {elapsed:.1?}: {result:?}"
+            ));
         })
     });
     let stopper = stop.clone();
@@ -183,5 +185,8 @@
 }
 
 fn is_timeout(error: &std::io::Error) -> bool {
-    matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+    matches!(
+        error.kind(),
+        std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+    )
 }
--- a/review/cases-2/src/json.rs
+++ b/review/cases-2/src/json.rs
@@ -14,7 +14,10 @@
 impl Json {
     /// Parses a whole text.
     pub fn parse(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         reader.space();
         (reader.at == reader.bytes.len()).then_some(value)
--- a/review/cases-2/src/memory.rs
+++ b/review/cases-2/src/memory.rs
@@ -9,7 +9,6 @@
 use std::time::{Duration, Instant};
 
 use crate::client::{new_id, request, Calls};
-use crate::record::Record;
 use crate::router::Options;
 use crate::site::{judge_lost, Setting, Site};
 
@@ -55,18 +54,29 @@
     while started.elapsed() < CALM + TROUBLE && !killed {
         if setting.trouble && clients.is_empty() && started.elapsed() >= CALM {
             record.say(&format!("{BAD_CLIENTS} bad clients connect to router 1"));
-            clients = (0..THREADS).map(|_| start_clients(target, &counts, &stop)).collect();
+            clients = (0..THREADS)
+                .map(|_| start_clients(target, &counts, &stop))
+                .collect();
         }
         let router = number % site.routers.len();
         number += 1;
-        calls.start(site.routers[router].addr, router, "lookup", USUAL_WAIT_MS, record);
+        calls.start(
+            site.routers[router].addr,
+            router,
+            "lookup",
+            USUAL_WAIT_MS,
+            record,
+        );
         thread::sleep(USUAL_PAUSE);
         let memory = site.routers[0].memory_mb().unwrap_or(0.0);
         most = most.max(memory);
         if Instant::now() >= next_note {
             next_note += Duration::from_secs(5);
             let after = started.elapsed();
-            record.say(&format!("after {after:.0?}: router 1 uses {memory:.1} MB; {}", counts.text()));
+            record.say(&format!(
+                "after {after:.0?}: router 1 uses {memory:.1} MB; {}",
+                counts.text()
+            ));
         }
         if memory > MEMORY_MB as f64 {
             // The platform's limit: a router over it is killed.
@@ -83,8 +93,15 @@
         let _ = client.join();
     }
     calls.wait();
-    record.say(&format!("at most {most:.1} MB of {MEMORY_MB} MB; {}", counts.text()));
-    let ended = if killed { Vec::new() } else { site.ended_routers() };
+    record.say(&format!(
+        "at most {most:.1} MB of {MEMORY_MB} MB; {}",
+        counts.text()
+    ));
+    let ended = if killed {
+        Vec::new()
+    } else {
+        site.ended_routers()
+    };
     ended.iter().for_each(|line| record.say(line));
     let outcomes = calls.outcomes.lock().unwrap().clone();
     // What a killed router held is the client's to retry, so only its end counts.
@@ -108,14 +125,17 @@
 ) -> thread::JoinHandle<()> {
     let (counts, stop) = (counts.clone(), stop.clone());
     thread::spawn(move || {
-        let mut clients: Vec<Option<BadClient>> = (0..BAD_CLIENTS / THREADS).map(|_| None).collect();
+        let mut clients: Vec<Option<BadClient>> =
+            (0..BAD_CLIENTS / THREADS).map(|_| None).collect();
         while !stop.load(Ordering::SeqCst) {
             for client in &mut clients {
                 let connected = client.take().or_else(|| BadClient::connect(addr));
                 *client = connected.and_then(|mut client| client.send(&counts).then_some(client));
             }
             for client in &mut clients {
-                *client = client.take().and_then(|mut client| client.read(&counts).then_some(client));
+                *client = client
+                    .take()
+                    .and_then(|mut client| client.read(&counts).then_some(client));
             }
         }
     })
@@ -131,7 +151,12 @@
         let stream = TcpStream::connect(addr).ok()?;
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
-        let request = request(&new_id(), "lookup", LITTLE_TIME_MS, "SELECT a FROM sales_17.orders");
+        let request = request(
+            &new_id(),
+            "lookup",
+            LITTLE_TIME_MS,
+            "SELECT a FROM sales_17.orders",
+        );
         Some(BadClient { stream, request })
     }
 
@@ -145,7 +170,11 @@
         let mut buffer = [0; 4 << 10];
         let count = self.stream.read(&mut buffer).unwrap_or(0);
         let is_refusal = buffer[..count].starts_with(b"HTTP/1.1 429");
-        let counter = if is_refusal { &counts.turned_away } else { &counts.other };
+        let counter = if is_refusal {
+            &counts.turned_away
+        } else {
+            &counts.other
+        };
         counter.fetch_add(1, Ordering::SeqCst);
         is_refusal
     }
--- a/review/cases-2/src/router.rs
+++ b/review/cases-2/src/router.rs
@@ -3,25 +3,20 @@
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::process::CommandExt;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
-use crate::coordinator::Entry;
-
 const READY_WITHIN: Duration = Duration::from_secs(30);
 
 extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
 }
 
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: i32 = 9;
-pub const SIGHUP: i32 = 1;
-pub const SIGTERM: i32 = 15;
 
 /// Has this process killed when the thread that started it ends.
 pub fn end_with_parent() {
@@ -30,6 +25,15 @@
     }
 }
 
+/// An engine on the list that a router starts with.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub id: u32,
+    pub addr: SocketAddr,
+    pub zone: usize,
+    pub kind: usize,
+}
+
 /// The part of a router's configuration that cases differ in.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -46,7 +50,6 @@
 pub struct Router {
     pub name: String,
     pub addr: SocketAddr,
-    pub config_file: PathBuf,
     child: Child,
 }
 
@@ -102,23 +105,16 @@
             let _ = child.wait();
             return Err(format!("router {name} is not ready after {READY_WITHIN:?}"));
         }
-        Ok(Router { name, addr, config_file, child })
-    }
-
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Sends a signal to the process that the deploy file's command started.
-    pub fn signal(&self, signal: i32) {
-        unsafe {
-            kill(self.child.id() as i32, signal);
-        }
+        Ok(Router { name, addr, child })
     }
 
     /// Returns how the process ended, or `None` while it runs.
     pub fn ended(&mut self) -> Option<String> {
-        self.child.try_wait().ok().flatten().map(|status| status.to_string())
+        self.child
+            .try_wait()
+            .ok()
+            .flatten()
+            .map(|status| status.to_string())
     }
 
     /// Kills the process and waits for its end.
@@ -155,11 +151,16 @@
         .lines()
         .find_map(|line| line.strip_prefix("run")?.trim_start().strip_prefix('='))
         .ok_or("the deploy file has no run")?;
-    let value = value.trim().strip_prefix('"').and_then(|rest| rest.split('"').next());
-    value.map(str::to_owned).ok_or_else(|| "run is no string".to_owned())
+    let value = value
+        .trim()
+        .strip_prefix('"')
+        .and_then(|rest| rest.split('"').next());
+    value
+        .map(str::to_owned)
+        .ok_or_else(|| "run is no string".to_owned())
 }
 
-pub fn config(
+fn config(
     name: &str,
     addr: SocketAddr,
     coordinator: SocketAddr,
@@ -172,13 +173,11 @@
         .iter()
         .map(|engine| {
             format!(
-                "{{\"id\":\"s-{:08x}\",\"host_port\":\"{}\",\"locality\":\"{}\",\"flavor\":\"{}\",\"cell\":1,\"phase\":\"{}\",\"size\":1,\"up_since_ms\":{}}}",
+                "{{\"id\":\"s-{:08x}\",\"host_port\":\"{}\",\"locality\":\"{}\",\"flavor\":\"{}\",\"cell\":1,\"phase\":\"in_service\",\"size\":1,\"up_since_ms\":0}}",
                 engine.id,
                 engine.addr,
-                ZONES[usize::from(engine.zone)],
-                KINDS[usize::from(engine.kind)],
-                ["in_service", "terminating", "terminated"][usize::from(engine.state)],
-                engine.started_ms,
+                ZONES[engine.zone],
+                KINDS[engine.kind],
             )
         })
         .collect();
--- a/review/cases-2/src/site.rs
+++ b/review/cases-2/src/site.rs
@@ -1,16 +1,14 @@
 //! A small deployment: three routers, six engines and a coordinator.
 
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
 
 use crate::client::{call, Calls, End, Outcome};
-use crate::coordinator::{self, Entry, Events, READY};
-use crate::engine::Engine;
+use crate::coordinator;
+use crate::engine;
 use crate::record::Record;
-use crate::router::{free_addr, Options, Router};
+use crate::router::{free_addr, Entry, Options, Router};
 
 /// By how much an answer may come after its client's time: half a second, and 50 ms that each time limit on sockets is
 /// longer.
@@ -27,65 +25,57 @@
 
 pub struct Site {
     pub routers: Vec<Router>,
-    pub engines: Vec<Engine>,
-    pub entries: Vec<Entry>,
-    pub events: Arc<Events>,
-    pub coordinator: SocketAddr,
-    pub options: Options,
 }
 
 impl Site {
     /// Starts a site and waits until each router serves a request.
     pub fn start(setting: &Setting, options: Options, engines: usize) -> Result<Site, String> {
         let failed = |error: std::io::Error| error.to_string();
-        let events = Arc::new(Events::default());
-        let coordinator = coordinator::start(events.clone()).map_err(failed)?;
-        let mut site = Site {
-            routers: Vec::new(),
-            engines: Vec::new(),
-            entries: Vec::new(),
-            events,
-            coordinator,
-            options,
-        };
+        let coordinator = coordinator::start().map_err(failed)?;
+        let mut entries = Vec::new();
         for number in 0..engines {
-            let engine = Engine::start(number, 20, setting.record.clone()).map_err(failed)?;
-            site.entries.push(Entry {
+            entries.push(Entry {
                 id: 0x00c4_1f70 + number as u32,
-                addr: engine.addr,
-                state: READY,
-                zone: (number % 3) as u8,
-                kind: (number % 2) as u8,
-                started_ms: 0,
+                addr: engine::start(number, setting.record.clone()).map_err(failed)?,
+                zone: number % 3,
+                kind: number % 2,
             });
-            site.engines.push(engine);
         }
-        for index in 0..site.options.routers {
+        let mut site = Site {
+            routers: Vec::new(),
+        };
+        for index in 0..options.routers {
             let addr = free_addr().map_err(failed)?;
-            let router = site.start_router(setting, index, addr)?;
+            let options = Options {
+                index,
+                ..options.clone()
+            };
+            let (root, folder) = (&setting.root, &setting.folder);
+            let router = Router::start(root, folder, addr, coordinator, &entries, &options)?;
             site.routers.push(router);
         }
         for (index, router) in site.routers.iter().enumerate() {
-            let outcome = call(router.addr, index, "lookup", 1500, "SELECT a FROM sales_17.orders");
+            let outcome = call(
+                router.addr,
+                index,
+                "lookup",
+                1500,
+                "SELECT a FROM sales_17.orders",
+            );
             if outcome.end != End::Answer(200) {
-                return Err(format!("router {} does not serve: {:?}", router.name, outcome.end));
+                return Err(format!(
+                    "router {} does not serve: {:?}",
+                    router.name, outcome.end
+                ));
             }
         }
-        setting.record.say(&format!("{} routers and {engines} engines serve", site.routers.len()));
+        setting.record.say(&format!(
+            "{} routers and {engines} engines serve",
+            site.routers.len()
+        ));
         Ok(site)
     }
 
-    pub fn start_router(
-        &self,
-        setting: &Setting,
-        index: usize,
-        addr: SocketAddr,
-    ) -> Result<Router, String> {
-        let options = Options { index, ..self.options.clone() };
-        let folder: &Path = &setting.folder;
-        Router::start(&setting.root, folder, addr, self.coordinator, &self.entries, &options)
-    }
-
     /// Sends usual requests for a time, one after each pause, to one router after the other.
     pub fn usual_load(
         &self,
@@ -107,7 +97,9 @@
     pub fn ended_routers(&mut self) -> Vec<String> {
         let ended = |router: &mut Router| {
             let name = router.name.clone();
-            router.ended().map(|status| format!("router {name} ended: {status}"))
+            router
+                .ended()
+                .map(|status| format!("router {name} ended: {status}"))
         };
         self.routers.iter_mut().filter_map(ended).collect()
     }
@@ -127,7 +119,10 @@
     let served = count(|end| *end == End::Answer(200));
     let closed = count(|end| *end == End::Closed);
     let not_taken = count(|end| *end == End::NotTaken);
-    let latest = outcomes.iter().map(|outcome| outcome.took_ms).fold(0.0, f64::max);
+    let latest = outcomes
+        .iter()
+        .map(|outcome| outcome.took_ms)
+        .fold(0.0, f64::max);
     record.say(&format!(
         "usual requests: {} sent, {answered} answered ({served} served), {closed} closed, {not_taken} not taken; the last took {latest:.0} ms",
         outcomes.len()
@@ -144,7 +139,11 @@
         ));
     }
     let by_router: Vec<usize> = (0..3)
-        .map(|router| lost.iter().filter(|outcome| outcome.router == router).count())
+        .map(|router| {
+            lost.iter()
+                .filter(|outcome| outcome.router == router)
+                .count()
+        })
         .collect();
     record.say(&format!(
         "lost (no answer {LATEST_ANSWER_MS} ms after its time): {} of {}, by router {by_router:?}",
